--- /dev/null
+++ b/snipewell/__init__.py
@@ -0,0 +1,1 @@
+"""A dispatcher for sub-second tasks that answers for outcomes."""
