Add the dispatcher, the backlog and the first admission rules

The entry needs something that decides which waiting task goes to which agent. Backlog orders teams by weighted virtual time and jobs by work left with ageing; placement takes the agent least in flight among those with a free slot; admission refuses what can never run, exceeds a quota or cannot end in time.

--- /dev/null
+++ b/snipewell/backlog.py
@@ -0,0 +1,246 @@
+"""Tasks that wait at their home: order between teams and jobs, withdrawal, bounds.
+
+Teams share capacity by start-time fair queueing: each grant advances the team's virtual time by
+the expected work divided by the team's weight, and the team that is furthest behind goes first.
+Within a team, the job with the least expected work left goes first, because a job ends only when
+its last task ends. The rank of a job is its arrival time plus ``ageing`` times the work left, so
+jobs that arrived more than that later cannot overtake it: a long job waits for a bounded time.
+
+Tasks are kept by placement class, the set of tasks that may run on the same agents. When a class
+finds no agent, all its tasks are passed over in one step, however many teams and jobs they have.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Container
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+
+from .effect import TaskReady
+from .ids import AgentId, ScopedKey, ServiceName, TeamName
+from .message import Resources
+
+
+class Size(Enum):
+    """How large a job is: placement treats single requests, small jobs and bulk jobs apart."""
+
+    SINGLE = "single"
+    SMALL = "small"
+    BULK = "bulk"
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementClass:
+    """Tasks that may run on the same agents."""
+
+    service: ServiceName
+    resources: Resources
+    candidates: frozenset[AgentId]
+    excluded: frozenset[AgentId]
+    size: Size
+
+
+@dataclass(slots=True)
+class Batch:
+    """Waiting tasks of one key and one placement class."""
+
+    key: ScopedKey
+    team: TeamName
+    placement: PlacementClass
+    arrived_ms: float
+    expected_ms: float
+    deadline_at_ms: float
+    tasks: deque[TaskReady] = field(default_factory=deque)
+
+    def rank(self, ageing: float) -> float:
+        """Return the batch's place in its team's order; lower goes first. In milliseconds."""
+        return self.arrived_ms + ageing * len(self.tasks) * self.expected_ms
+
+
+@dataclass(slots=True)
+class TeamShare:
+    """A team's place in the fair order: virtual time in expected milliseconds over weight."""
+
+    weight: int = 1
+    virtual_ms: float = 0.0
+    waiting: int = 0
+
+
+@dataclass(slots=True)
+class _ClassQueue:
+    """The waiting batches of one placement class, by team."""
+
+    teams: list[tuple[float, int, TeamName]] = field(default_factory=list)
+    batches: dict[TeamName, list[tuple[float, int, Batch]]] = field(default_factory=dict)
+
+
+class Backlog:
+    """Waiting tasks in the order in which they should be placed.
+
+    ``ageing`` is how many milliseconds of later arrivals may overtake a job for each millisecond of
+    its expected work; 0 gives the order of arrival.
+    """
+
+    def __init__(self, ageing: float, bulk_tasks: int) -> None:
+        self._ageing = ageing
+        self._bulk_tasks = bulk_tasks
+        self._classes: dict[PlacementClass, _ClassQueue] = {}
+        self._keys: dict[ScopedKey, list[Batch]] = {}
+        self._teams: dict[TeamName, TeamShare] = {}
+        self._virtual_ms = 0.0
+        self._sequence = count()
+        self.waiting = 0
+        self.work_ms = 0.0
+
+    def size_of(self, job_size: int) -> Size:
+        """Return the size band of a job with ``job_size`` tasks."""
+        if job_size == 1:
+            return Size.SINGLE
+        return Size.BULK if job_size >= self._bulk_tasks else Size.SMALL
+
+    def set_weight(self, team: TeamName, weight: int) -> None:
+        """Set the team's share under contention."""
+        self._share(team).weight = weight
+
+    def waiting_of(self, team: TeamName) -> int:
+        """Return how many tasks of ``team`` wait."""
+        share = self._teams.get(team)
+        return share.waiting if share else 0
+
+    def active_weight(self) -> int:
+        """Return the sum of the weights of the teams that wait."""
+        return sum(share.weight for share in self._teams.values() if share.waiting)
+
+    def put(self, task: TaskReady, arrived_ms: float, expected_ms: float) -> None:
+        """Add ``task``, which arrived at ``arrived_ms`` and should run for ``expected_ms``."""
+        share = self._share(task.team)
+        if not share.waiting:
+            share.virtual_ms = max(share.virtual_ms, self._virtual_ms)
+        batch = self._batch_of(task, arrived_ms, expected_ms)
+        batch.tasks.append(task)
+        share.waiting += 1
+        self.waiting += 1
+        self.work_ms += batch.expected_ms
+        if len(batch.tasks) == 1:
+            self._push(batch, share)
+
+    def withdraw(self, key: ScopedKey) -> int:
+        """Remove the waiting tasks of ``key`` and return how many they were.
+
+        The cost does not depend on the number of tasks: the batch is emptied here and its place in
+        the order is dropped when it is next reached.
+        """
+        removed = 0
+        for batch in self._keys.pop(key, ()):
+            removed += self._empty(batch)
+        return removed
+
+    def best(self, blocked: Container[PlacementClass], now_ms: float) -> Batch | None:
+        """Return the batch whose task should be placed next, outside ``blocked``, or None."""
+        best: Batch | None = None
+        best_at = 0.0
+        drained = []
+        for placement, queue in self._classes.items():
+            if placement in blocked:
+                continue
+            batch = self._head(queue, now_ms)
+            if batch is None:
+                drained.append(placement)
+            elif best is None or self._teams[batch.team].virtual_ms < best_at:
+                best, best_at = batch, self._teams[batch.team].virtual_ms
+        for placement in drained:
+            del self._classes[placement]
+        return best
+
+    def take(self, batch: Batch) -> TaskReady:
+        """Remove and return the first task of ``batch`` and charge its team."""
+        task = batch.tasks.popleft()
+        share = self._teams[batch.team]
+        self._virtual_ms = max(self._virtual_ms, share.virtual_ms)
+        share.virtual_ms += batch.expected_ms / share.weight
+        share.waiting -= 1
+        self.waiting -= 1
+        self.work_ms -= batch.expected_ms
+        if batch.tasks:
+            heap = self._classes[batch.placement].batches[batch.team]
+            heap[0] = (batch.rank(self._ageing), heap[0][1], batch)
+        else:
+            self._forget(batch)
+        return task
+
+    def _share(self, team: TeamName) -> TeamShare:
+        return self._teams.setdefault(team, TeamShare())
+
+    def _batch_of(self, task: TaskReady, arrived_ms: float, expected_ms: float) -> Batch:
+        batches = self._keys.setdefault(task.key, [])
+        for batch in batches:
+            own = batch.placement
+            if own.excluded == task.excluded and own.candidates == task.candidates:
+                return batch
+        size = self.size_of(task.job_size)
+        placement = PlacementClass(
+            task.service, task.resources, task.candidates, task.excluded, size
+        )
+        batch = Batch(task.key, task.team, placement, arrived_ms, expected_ms, task.deadline_at_ms)
+        batches.append(batch)
+        return batch
+
+    def _push(self, batch: Batch, share: TeamShare) -> None:
+        queue = self._classes.setdefault(batch.placement, _ClassQueue())
+        heap = queue.batches.get(batch.team)
+        if heap is None:
+            heap = queue.batches[batch.team] = []
+            heapq.heappush(queue.teams, (share.virtual_ms, next(self._sequence), batch.team))
+        heapq.heappush(heap, (batch.rank(self._ageing), next(self._sequence), batch))
+
+    def _head(self, queue: _ClassQueue, now_ms: float) -> Batch | None:
+        """Return the first batch of the team that is furthest behind in ``queue``."""
+        while queue.teams:
+            virtual_ms, sequence, team = queue.teams[0]
+            heap = queue.batches[team]
+            self._drop_ended(heap, now_ms)
+            current_ms = self._teams[team].virtual_ms
+            if not heap:
+                heapq.heappop(queue.teams)
+                del queue.batches[team]
+            elif current_ms > virtual_ms:
+                heapq.heapreplace(queue.teams, (current_ms, sequence, team))
+            else:
+                return heap[0][2]
+        return None
+
+    def _drop_ended(self, heap: list[tuple[float, int, Batch]], now_ms: float) -> None:
+        """Correct the top of ``heap``: no withdrawn or expired batch, and its present rank.
+
+        A job whose deadline has passed leaves the backlog; its home answers the caller.
+        """
+        while heap:
+            rank, sequence, batch = heap[0]
+            if batch.tasks and batch.deadline_at_ms <= now_ms:
+                self._empty(batch)
+                self._forget(batch)
+            if not batch.tasks:
+                heapq.heappop(heap)
+                continue
+            present = batch.rank(self._ageing)
+            if present <= rank:
+                return
+            heapq.heapreplace(heap, (present, sequence, batch))
+
+    def _empty(self, batch: Batch) -> int:
+        removed = len(batch.tasks)
+        batch.tasks = deque()
+        self._teams[batch.team].waiting -= removed
+        self.waiting -= removed
+        self.work_ms -= removed * batch.expected_ms
+        return removed
+
+    def _forget(self, batch: Batch) -> None:
+        batches = self._keys.get(batch.key)
+        if batches is not None:
+            batches[:] = [other for other in batches if other is not batch]
+            if not batches:
+                del self._keys[batch.key]
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from random import Random
+
+from snipewell.clock import ManualClock
+from snipewell.dispatch import Dispatcher, DispatchLimits, Grant
+from snipewell.effect import TaskReady
+from snipewell.ids import (
+    AgentId,
+    Incarnation,
+    RackId,
+    ScopedKey,
+    ServiceName,
+    TaskIndex,
+    TeamName,
+    UpstreamId,
+    ZoneId,
+)
+from snipewell.message import Load, RefusalReason, Resources, TaskState
+from snipewell.placement import LeastInFlight
+from snipewell.view import AgentView
+
+DYE = ServiceName("dye-test")
+
+
+def make_view(name: str, incarnation: str = "1", slots: int = 2, **changes: object) -> AgentView:
+    values: dict[str, object] = {
+        "agent": AgentId(name),
+        "incarnation": Incarnation(incarnation),
+        "upstream": UpstreamId(name),
+        "zone": ZoneId("patan"),
+        "rack": RackId("r1"),
+        "slots": slots,
+        "worker": Resources(64, 128_000, 0),
+        "services": frozenset(),
+        "draining": False,
+        "load": Load(),
+        "in_service": True,
+        "last_seen_ms": 0.0,
+    }
+    return AgentView(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def make_tasks(
+    key: str, count: int, agents: list[str], team: str = "annex", **changes: object
+) -> list[TaskReady]:
+    values: dict[str, object] = {
+        "service": DYE,
+        "team": TeamName(team),
+        "resources": Resources(),
+        "deadline_at_ms": 10_000.0,
+        "job_size": count,
+        "candidates": frozenset(map(AgentId, agents)),
+    }
+    return [
+        TaskReady(key=ScopedKey(f"{team}/{key}"), task=TaskIndex(i), **{**values, **changes})  # type: ignore[arg-type]
+        for i in range(count)
+    ]
+
+
+def make_dispatcher(clock: ManualClock, *views: AgentView) -> Dispatcher:
+    dispatcher = Dispatcher(clock, Random(7), ZoneId("patan"), LeastInFlight(), DispatchLimits())
+    for view in views:
+        dispatcher.on_agent(view)
+    return dispatcher
+
+
+def finish(dispatcher: Dispatcher, grant: Grant, load: Load | None = None) -> None:
+    dispatcher.on_result(grant.agent, grant.key, grant.task, TaskState.OK, 100.0, load or Load())
+
+
+def test_grants_only_free_slots_and_the_rest_when_slots_free() -> None:
+    """Guards against starts beyond the free slots, which the agent would refuse or queue."""
+    dispatcher = make_dispatcher(ManualClock(), make_view("a"), make_view("b"))
+    dispatcher.enqueue(make_tasks("job", 6, ["a", "b"]))
+    first = dispatcher.next_grants()
+    assert sorted(grant.agent for grant in first) == ["a", "a", "b", "b"]
+    assert dispatcher.next_grants() == []
+    finish(dispatcher, first[0], Load(busy=1))
+    assert [grant.agent for grant in dispatcher.next_grants()] == [first[0].agent]
+    assert (dispatcher.waiting(), dispatcher.running()) == (1, 4)
+
+
+def test_each_task_is_granted_once() -> None:
+    """Guards against a task being granted again while it runs, and against losing a refused one."""
+    dispatcher = make_dispatcher(ManualClock(), make_view("a", slots=8))
+    tasks = make_tasks("job", 3, ["a"])
+    dispatcher.enqueue(tasks)
+    grants = dispatcher.next_grants()
+    assert sorted(grant.task for grant in grants) == [0, 1, 2]
+    assert dispatcher.next_grants() == []
+    dispatcher.on_refused(
+        AgentId("a"), tasks[1].key, tasks[1].task, RefusalReason.BUSY, Load(busy=8)
+    )
+    dispatcher.enqueue([tasks[1]])
+    assert dispatcher.next_grants() == []
+    finish(dispatcher, grants[0], Load(busy=1))
+    assert [grant.task for grant in dispatcher.next_grants()] == [1]
+
+
+def test_grants_nothing_to_agents_that_leave_or_are_excluded() -> None:
+    """Guards against new work for an upstream that drains, is out of service or is excluded."""
+    dispatcher = make_dispatcher(
+        ManualClock(),
+        make_view("a", draining=True),
+        make_view("b", in_service=False),
+        make_view("c"),
+        make_view("d"),
+    )
+    excluded = frozenset({AgentId("c")})
+    dispatcher.enqueue(make_tasks("one", 1, ["a", "b", "c"], excluded=excluded))
+    assert dispatcher.next_grants() == []
+
+
+def test_restarted_agent_frees_the_slots_of_its_former_life() -> None:
+    """Guards against slots counted as used for ever after an agent restarts."""
+    dispatcher = make_dispatcher(ManualClock(), make_view("a", slots=1))
+    dispatcher.enqueue(make_tasks("one", 1, ["a"]) + make_tasks("two", 1, ["a"]))
+    assert len(dispatcher.next_grants()) == 1
+    dispatcher.on_agent(make_view("a", incarnation="2", slots=1))
+    assert [grant.incarnation for grant in dispatcher.next_grants()] == ["2"]
