Add the ZeroMQ transport on curio

curio has no ZeroMQ support, and entries and agents need sockets that neither stall nor queue messages for peers that are away. One task owns each socket and takes messages from a bounded queue; a second task only waits on the edge-triggered descriptor. Sends that ZeroMQ does not accept are counted and reported to the caller.

--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import zmq
+
+from snipewell.ids import AgentId, EntryId, Incarnation, Revision, ScopedKey
+from snipewell.message import AnyMessage, Forget, Message, Permit, encode
+from snipewell.transport import Dealers, Router, agent_identity, parse_agent_identity
+
+ENTRY = EntryId("e1.aa")
+AGENT = agent_identity(AgentId("a-1"), Incarnation("01"))
+
+
+def permit(sequence: int) -> Permit:
+    return Permit(ENTRY, sequence, Revision(1), True, 1500)
+
+
+def run(scenario: Callable[[zmq.Context], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with curio.timeout_after(30):
+            with zmq.Context() as context:
+                await scenario(context)
+
+    curio.run(bounded)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await curio.sleep(0.005)
+
+
+def test_round_trips_with_both_ends_sending_at_once_do_not_stall() -> None:
+    """Guards against a send that consumes the edge of the descriptor, so that a reply lies."""
+    echoed: list[int] = []
+    pushed: list[int] = []
+
+    async def scenario(context: zmq.Context) -> None:
+        async def serve(peer: str, message: AnyMessage) -> None:
+            await router.send(peer, message)
+
+        def receive(_peer: str, message: AnyMessage) -> None:
+            assert isinstance(message, Permit)
+            (echoed if message.sequence >= 0 else pushed).append(message.sequence)
+
+        router = Router(context, ENTRY, "127.0.0.1:0", serve)
+        dealers = Dealers(context, AGENT, receive)
+        await router.start()
+        await dealers.connect(ENTRY, router.address)
+        await until_connected(dealers, echoed)
+
+        async def push() -> None:
+            for number in range(5_000):
+                await router.send(AGENT, permit(-1 - number))
+                await curio.sleep(0 if number % 100 else 0.001)
+
+        pusher = await curio.spawn(push)
+        for number in range(1, 5_001):
+            await dealers.send(ENTRY, permit(number))
+            if number % 7 == 0:
+                await until(lambda wanted=number: len(echoed) > wanted - 50)
+        await pusher.join()
+        await until(lambda: len(echoed) >= 5_000 and len(pushed) == 5_000)
+        await dealers.close()
+        await router.close()
+
+    run(scenario)
+    assert echoed[-5_000:] == list(range(1, 5_001))
+
+
+async def until_connected(dealers: Dealers, echoed: list[int]) -> None:
+    """Send until the first echo; a dealer without a connection reports its messages."""
+    while not echoed:
+        await dealers.send(ENTRY, permit(0))
+        await curio.sleep(0.02)
+    await curio.sleep(0.1)
+    echoed.clear()
+
+
+def test_unreachable_peers_are_reported_to_the_caller() -> None:
+    """Guards against a message that ZeroMQ keeps for a peer that is away, or drops silently."""
+    lost: list[tuple[str, Message]] = []
+
+    async def scenario(context: zmq.Context) -> None:
+        router = Router(
+            context, ENTRY, "127.0.0.1:0", lambda *_: None, lambda *item: lost.append(item)
+        )
+        dealers = Dealers(context, AGENT, lambda *_: None, lambda *item: lost.append(item))
+        await router.start()
+        await router.send("nobody+00", permit(1))
+        await dealers.connect("e2.bb", "127.0.0.1:9")
+        await dealers.send("e2.bb", permit(2))
+        await until(lambda: len(lost) == 2)
+        assert not await dealers.send("e3.cc", permit(3))
+        assert (router.counters.undelivered, dealers.counters.undelivered) == (1, 2)
+        await dealers.close()
+        await router.close()
+
+    run(scenario)
+    assert lost == [("nobody+00", permit(1)), ("e2.bb", permit(2))]
+
+
+def test_malformed_messages_are_counted_and_dropped() -> None:
+    """Guards against one bad peer ending the task that owns the entry's socket."""
+    received: list[AnyMessage] = []
+
+    async def scenario(context: zmq.Context) -> None:
+        router = Router(
+            context, ENTRY, "127.0.0.1:0", lambda _peer, message: received.append(message)
+        )
+        await router.start()
+        peer = context.socket(zmq.DEALER)
+        peer.setsockopt(zmq.IDENTITY, AGENT.encode())
+        peer.connect(f"tcp://{router.address}")
+        good = encode(Forget([ScopedKey("t/k")]))
+        for frames in ([b""], [b"\x02" + good[1:]], [good, good], [good[:-1]], [good]):
+            peer.send_multipart(frames)
+        await until(lambda: bool(received))
+        assert router.counters.malformed == 4
+        peer.close(linger=0)
+        await router.close()
+
+    run(scenario)
+    assert received == [Forget([ScopedKey("t/k")])]
+
+
+def test_a_replaced_connection_takes_over_the_identity() -> None:
+    """Guards against a router that keeps sending to the silent connection of a peer."""
+    received: list[int] = []
+
+    async def scenario(context: zmq.Context) -> None:
+        async def serve(peer: str, message: AnyMessage) -> None:
+            await router.send(peer, message)
+
+        router = Router(context, ENTRY, "127.0.0.1:0", serve)
+        await router.start()
+        silent = context.socket(zmq.DEALER)
+        silent.setsockopt(zmq.IDENTITY, AGENT.encode())
+        silent.connect(f"tcp://{router.address}")
+        silent.send(encode(permit(1)))
+        await until(lambda: router.counters.received == 1)
+        dealers = Dealers(context, AGENT, lambda _peer, message: received.append(message.sequence))
+        await dealers.connect(ENTRY, router.address)
+        await until_connected(dealers, received)
+        await dealers.replace(ENTRY)
+        await until_connected(dealers, received)
+        silent.close(linger=0)
+        await dealers.close()
+        await router.close()
+
+    run(scenario)
+
+
+def test_identities_tell_agents_from_entries() -> None:
+    """Guards against an entry's messages being taken for those of an agent."""
+    assert parse_agent_identity(AGENT) == ("a-1", "01")
+    assert parse_agent_identity(ENTRY) is None
