--- /dev/null
+++ b/snipewell/group.py
@@ -0,0 +1,135 @@
+"""Grouped storage of resources: one JSON value per kind, split into numbered parts when it grows.
+
+Part 1 of a kind is stored under ``config/<kind>``, part ``n`` under ``config/<kind>/<n>``. A part
+that would exceed ``SPLIT_BYTES`` hands its items to its children ``2n`` and ``2n + 1``, chosen by
+the bits of a hash of the name, and from then on only says that it is split. The children count only
+once the parent says so, therefore a split needs no write of several keys at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+import xxhash
+
+from .ids import Revision
+from .resource import Kind
+
+CONFIG_PREFIX = "config/"
+SPLIT_BYTES = 900_000
+"""Below the 1 MB that the store takes as one value, with room for the writer's envelope."""
+MAX_DEPTH = 10
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A stored resource: its spec as JSON, its generation and its resource version.
+
+    ``generation`` rises when the spec changes. ``version`` is one more than the store's revision
+    that the writer had seen, so it rises with every write and never returns after a deletion.
+    """
+
+    spec: msgspec.Raw
+    generation: int
+    version: int
+
+
+class Group(msgspec.Struct, frozen=True):
+    """One part of a kind: its items by name.
+
+    ``base`` is the store's revision of the value from which the writer derived this one. A value
+    whose base is older than the value in force was written after the store had gone back.
+    """
+
+    items: dict[str, Item] = {}
+    base: int = 0
+    split: bool = False
+
+
+_STORE_NAMES = {kind: kind.value for kind in Kind} | {Kind.CONFIGURATION: "settings"}
+_KINDS = {name: kind for kind, name in _STORE_NAMES.items()}
+_encoder = msgspec.json.Encoder(order="deterministic")
+_decoder = msgspec.json.Decoder(Group)
+
+
+def part_key(kind: Kind, part: int = 1) -> str:
+    """Return the store key of ``part`` of ``kind``."""
+    root = CONFIG_PREFIX + _STORE_NAMES[kind]
+    return root if part == 1 else f"{root}/{part}"
+
+
+def parse_key(key: str) -> tuple[Kind, int] | None:
+    """Return the kind and part stored under ``key``, or None if it stores no resources."""
+    name, _, part = key.removeprefix(CONFIG_PREFIX).partition("/")
+    kind = _KINDS.get(name)
+    if kind is None or not key.startswith(CONFIG_PREFIX) or not (part or "1").isdecimal():
+        return None
+    return kind, int(part or "1")
+
+
+def encode_group(group: Group) -> bytes:
+    """Return ``group`` as JSON with sorted keys, so that equal groups give equal bytes."""
+    return _encoder.encode(group)
+
+
+def decode_group(value: bytes) -> Group:
+    """Return the group in ``value``; an empty value is an empty group.
+
+    Raises msgspec.MsgspecError if the value is no group.
+    """
+    return _decoder.decode(value) if value else Group()
+
+
+def part_of(name: str, parts: Mapping[int, Group]) -> int:
+    """Return the number of the part that ``name`` belongs to, following the parts that are split.
+
+    Raises ValueError if parts are split more than ``MAX_DEPTH`` times.
+    """
+    bits = xxhash.xxh3_64_intdigest(name.encode())
+    part = 1
+    for depth in range(MAX_DEPTH):
+        group = parts.get(part)
+        if group is None or not group.split:
+            return part
+        part = 2 * part + (bits >> depth & 1)
+    raise ValueError(f"parts of the group of {name!r} are split more than {MAX_DEPTH} times")
+
+
+def live_items(parts: Mapping[int, Group]) -> dict[str, Item]:
+    """Return the items of a kind by name, from the parts that count."""
+    found: dict[str, Item] = {}
+    pending = [1]
+    while pending:
+        part = pending.pop()
+        group = parts.get(part)
+        if group is None:
+            continue
+        if group.split and part < 2**MAX_DEPTH:
+            pending += [2 * part, 2 * part + 1]
+        found.update(group.items)
+    return found
+
+
+def split_group(part: int, group: Group, revision: Revision) -> dict[int, Group]:
+    """Return the two children that take over the items of ``part``, which is at ``revision``."""
+    children: dict[int, dict[str, Item]] = {2 * part: {}, 2 * part + 1: {}}
+    for name, item in group.items.items():
+        depth = part.bit_length() - 1
+        bits = xxhash.xxh3_64_intdigest(name.encode())
+        children[2 * part + (bits >> depth & 1)][name] = item
+    return {number: Group(items=items, base=revision) for number, items in children.items()}
+
+
+def merge_reverted(in_force: Group, incoming: Group) -> Group:
+    """Return what to use of ``incoming``, which was derived from an older value than ``in_force``.
+
+    Only what its writer changed is taken: items newer than its base, and the absence of items that
+    its base had. All else stays as it is in force.
+    """
+    items = {
+        name: item
+        for name, item in in_force.items.items()
+        if name in incoming.items or item.version > incoming.base
+    }
+    items |= {n: item for n, item in incoming.items.items() if item.version > incoming.base}
+    return Group(items=items, base=incoming.base, split=incoming.split)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,130 @@
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipewell.configuration import Configuration
+from snipewell.effect import Note
+from snipewell.group import Group, Item, encode_group, live_items, part_key, part_of, split_group
+from snipewell.ids import Revision, ServiceName, TeamName, UpstreamId, ZoneId
+from snipewell.message import Snapshot
+from snipewell.resource import Kind
+
+PATAN, KIRTIPUR = ZoneId("patan"), ZoneId("kirtipur")
+
+
+def item(version: int, generation: int = 1, **spec: object) -> Item:
+    return Item(msgspec.Raw(msgspec.json.encode(spec)), generation, version)
+
+
+def zones(base: int, **states: tuple[int, bool]) -> bytes:
+    items = {n: item(v, name=n, in_service=s) for n, (v, s) in states.items()}
+    return encode_group(Group(items=items, base=base))
+
+
+KEY = part_key(Kind.ZONE)
+
+
+def texts(configuration: Configuration) -> list[str]:
+    return [note.text for note in configuration.take_notes() if isinstance(note, Note)]
+
+
+def test_nothing_is_in_service_before_the_first_value() -> None:
+    """Guards against an entry that has read nothing yet granting permits for a zone that is out."""
+    configuration = Configuration()
+    assert not configuration.accepts(PATAN, UpstreamId("u1"))
+    assert configuration.service(ServiceName("intake")) is None
+    assert configuration.team(TeamName("annex")).weight == 1
+
+
+def test_a_lower_revision_never_overrides() -> None:
+    """Guards against a late watch answer or an old snapshot bringing a stopped zone back."""
+    configuration = Configuration()
+    assert configuration.apply(KEY, zones(0, patan=(1, True)), Revision(3))
+    assert configuration.apply(KEY, zones(3, patan=(4, False)), Revision(9))
+    assert not configuration.apply(KEY, zones(0, patan=(1, True)), Revision(3))
+    assert not configuration.apply_snapshot(Snapshot(Revision(8), {KEY: zones(0, patan=(1, True))}))
+    assert not configuration.accepts(PATAN, UpstreamId("u1"))
+
+
+def test_a_value_written_after_the_store_went_back_keeps_newer_items() -> None:
+    """Guards against the first write on a store that went back undoing a zone's withdrawal."""
+    configuration = Configuration()
+    configuration.apply(KEY, zones(0, patan=(1, True), kirtipur=(1, True)), Revision(3))
+    configuration.apply(KEY, zones(3, patan=(4, False), kirtipur=(1, True)), Revision(9))
+    configuration.observe_store(Revision(9))
+    configuration.observe_store(Revision(3))
+    assert configuration.store_behind
+    written = zones(3, patan=(1, True), kirtipur=(10, False))
+    assert configuration.apply(KEY, written, Revision(11))
+    assert not configuration.zone_in_service(PATAN)
+    assert not configuration.zone_in_service(KIRTIPUR)
+    assert [text[:5] for text in texts(configuration)] == ["ALARM", "ALARM"]
+
+
+def test_an_unreadable_value_leaves_the_last_one_in_force() -> None:
+    """Guards against a damaged or foreign value emptying the list of zones."""
+    configuration = Configuration()
+    configuration.apply(KEY, zones(0, patan=(1, True)), Revision(3))
+    configuration.apply(KEY, b"{", Revision(4))
+    newer = Group(items={"patan": item(5, name="patan", unheard_of=1)}, base=4)
+    configuration.apply(KEY, encode_group(newer), Revision(5))
+    assert configuration.zone_in_service(PATAN)
+    assert len(texts(configuration)) == 2
+
+
+def test_a_snapshot_brings_another_entry_to_the_same_state() -> None:
+    """Guards against an entry that joins during an outage of the store missing a key."""
+    first, second = Configuration(), Configuration()
+    first.apply(KEY, zones(0, patan=(1, True)), Revision(3))
+    upstreams = Group(items={"u1": item(4, name="u1", in_service=False)}, base=0)
+    first.apply(part_key(Kind.UPSTREAM), encode_group(upstreams), Revision(4))
+    assert second.apply_snapshot(first.snapshot())
+    assert second.snapshot() == first.snapshot()
+    assert second.accepts(PATAN, UpstreamId("u2"))
+    assert not second.accepts(PATAN, UpstreamId("u1"))
+
+
+def test_a_split_part_keeps_every_item_in_exactly_one_part() -> None:
+    """Guards against losing or doubling teams when their value grows towards 1 MB."""
+    names = [f"team-{number}" for number in range(60)]
+    whole = Group(items={name: item(1, name=name) for name in names}, base=0)
+    parts = {1: Group(split=True, base=5)} | split_group(1, whole, Revision(5))
+    parts |= split_group(2, parts[2], Revision(6)) | {2: Group(split=True, base=6)}
+    assert live_items(parts) == whole.items
+    assert all(name in parts[part_of(name, parts)].items for name in names)
+
+
+@st.composite
+def histories(draw: st.DrawFn) -> list[tuple[int, bytes, Snapshot]]:
+    """Return a store's history of the zones as (revision, value, snapshot), newest last."""
+    history: list[tuple[int, bytes, Snapshot]] = []
+    revision, states = 0, {}
+    for _ in range(draw(st.integers(2, 8))):
+        version = revision + 1
+        states[draw(st.sampled_from(["patan", "kirtipur"]))] = (version, draw(st.booleans()))
+        base, revision = (history[-1][0] if history else 0), revision + draw(st.integers(1, 3))
+        value = zones(base, **states)
+        history.append((revision, value, Snapshot(Revision(revision), {KEY: value})))
+    return history
+
+
+@given(histories(), st.lists(st.tuples(st.integers(0, 7), st.booleans()), max_size=24))
+def test_the_configuration_in_force_never_reverts(
+    history: list[tuple[int, bytes, Snapshot]], arrivals: list[tuple[int, bool]]
+) -> None:
+    """Guards against any order of events and snapshots undoing an item that was in force."""
+    configuration = Configuration()
+    versions: dict[str, int] = {}
+    highest = 0
+    for index, as_snapshot in arrivals:
+        revision, value, snapshot = history[index % len(history)]
+        if as_snapshot:
+            applied = configuration.apply_snapshot(snapshot)
+        else:
+            applied = configuration.apply(KEY, value, Revision(revision))
+        assert applied == (revision > highest)
+        highest = max(highest, revision)
+        assert configuration.revision == highest
+        now = {name: found.version for name, found in configuration.items(Kind.ZONE).items()}
+        assert all(now[name] >= version for name, version in versions.items())
+        versions = now
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,76 @@
+from snipewell.clock import ManualClock
+from snipewell.freshness import Freshness
+from snipewell.ids import EntryId, Revision
+
+A, B, C = EntryId("a.1"), EntryId("b.1"), EntryId("c.1")
+R5, R6 = Revision(5), Revision(6)
+
+
+def make() -> tuple[Freshness, ManualClock]:
+    clock = ManualClock(10_000)
+    freshness = Freshness(A, clock)
+    freshness.set_entries([A, B, C])
+    return freshness, clock
+
+
+def test_contact_counts_from_the_time_of_sending() -> None:
+    """Guards against a process that was paused after asking taking an old answer for a new one."""
+    freshness, clock = make()
+    sent = clock.now_ms()
+    clock.advance(900)
+    freshness.on_store_contact(sent)
+    assert freshness.is_fresh(R5)
+    clock.advance(101)
+    assert not freshness.is_fresh(R5)
+    freshness.on_store_contact(sent - 50)
+    assert not freshness.is_fresh(R5)
+
+
+def test_a_majority_without_a_higher_revision_replaces_the_store() -> None:
+    """Guards against stopping all work because the store is down."""
+    freshness, clock = make()
+    assert not freshness.is_fresh(R5)
+    freshness.on_peer(B, clock.now_ms(), R5)
+    assert freshness.is_fresh(R5)
+    clock.advance(1_001)
+    assert not freshness.is_fresh(R5)
+
+
+def test_a_peer_with_a_higher_revision_forbids_permits_without_the_store() -> None:
+    """Guards against an entry that missed a zone's withdrawal granting permits for it."""
+    freshness, clock = make()
+    freshness.on_peer(B, clock.now_ms(), R6)
+    freshness.on_peer(C, clock.now_ms(), R5)
+    assert not freshness.is_fresh(R5)
+    assert freshness.is_fresh(R6)
+    freshness.on_peer(B, clock.now_ms(), R5)
+    assert not freshness.is_fresh(R5)
+
+
+def test_a_minority_and_strangers_are_not_enough() -> None:
+    """Guards against counting entries that are not registered, or an earlier life of one."""
+    freshness, clock = make()
+    freshness.on_peer(EntryId("b.0"), clock.now_ms(), R5)
+    freshness.on_peer(A, clock.now_ms(), R5)
+    assert not freshness.is_fresh(R5)
+
+
+def test_a_single_entry_is_its_own_majority_once_registered() -> None:
+    """Guards against a system of one entry stopping with the store, or starting without it."""
+    clock = ManualClock()
+    freshness = Freshness(A, clock)
+    assert not freshness.is_fresh(R5)
+    freshness.set_entries([A])
+    assert freshness.is_fresh(R5)
+
+
+def test_store_contact_is_not_enough_behind_a_peer_for_long() -> None:
+    """Guards against an entry started on a store that went back granting by what it reads there."""
+    freshness, clock = make()
+    for _ in range(13):
+        freshness.on_store_contact(clock.now_ms())
+        freshness.on_peer(B, clock.now_ms(), R6)
+        fresh = freshness.is_fresh(R5)
+        clock.advance(100)
+    assert not fresh
+    assert freshness.is_fresh(R6)
