Add the stand-in of the key-value service

Tests, demo and bench need the platform's store with compare-and-swap, leases, watches and its faults: down, slow, lost answers of writes that took effect, and a return to an earlier revision. Calls and waiting watches are counted.

--- /dev/null
+++ b/snipewell/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside: store, upstream and balancer, for tests, demo and bench."""
--- /dev/null
+++ b/snipewell/standins/store.py
@@ -0,0 +1,219 @@
+"""The stand-in for the platform's key-value service: faults, counts and an HTTP face.
+
+`StoreServer` serves a `StoreStandIn` over HTTP. ``GET /stats`` counts calls and waiting watches;
+``POST /faults`` takes `Faults` as JSON.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from urllib.parse import unquote
+
+import curio
+import msgspec
+
+from ..clock import Clock, SystemClock
+from ..keyvalue import Changes, Lease, LeaseBody, Listing, Written
+from ..server import CallerGoneError, HttpServer, ServerLimits
+from ..settings import StoreSettings
+from ..web import Request, Response
+from .keyvalue import ConflictError, Faults, KeyValueCore, ValueSizeError
+
+MAX_WAIT_MS = 60_000
+_HANG_MS = 600_000
+
+
+class StoreStandIn:
+    """Answers the protocol of `keyvalue`; one instance may serve any number of callers.
+
+    ``settings`` give the latency, the limit of a value and the calls per second, beyond which
+    calls wait. ``core`` is the state, for direct use.
+    """
+
+    def __init__(self, clock: Clock | None = None, settings: StoreSettings | None = None) -> None:
+        self._clock = clock or SystemClock()
+        self._settings = settings or StoreSettings(host="127.0.0.1", latency_ms=0)
+        self.core = KeyValueCore(self._clock, self._settings.value_bytes)
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self._faults_end_ms = float("inf")
+        self._changed = curio.Event()
+        self._free_at_ms = {"write": 0.0, "read": 0.0}
+
+    async def set_faults(self, faults: Faults) -> None:
+        """Replace the faults; raise ValueError if the store cannot go back that far."""
+        if faults.go_back_to is not None:
+            self.core.go_back(faults.go_back_to)
+        self.faults = faults
+        now = self._clock.now_ms()
+        self._faults_end_ms = float("inf") if faults.for_ms is None else now + faults.for_ms
+        await self._wake()
+
+    def is_down(self) -> str:
+        """Return ``refuse`` or ``hang`` while that fault lasts, else an empty string."""
+        if self._clock.now_ms() >= self._faults_end_ms:
+            self.faults = Faults()
+            self._faults_end_ms = float("inf")
+        return self.faults.down
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; raise CallerGoneError to close the connection without an answer."""
+        if request.path == "/stats":
+            return Response.from_json(200, self.stats())
+        if request.path == "/faults":
+            return await self._take_faults(request)
+        await self._suffer(request.method)
+        try:
+            response = await self._answer(request)
+        except ConflictError as error:
+            return Response.from_json(409, Written(error.revision))
+        except ValueSizeError as error:
+            return _refuse(413, str(error))
+        except KeyError as error:
+            return _refuse(404, f"not found: {error.args[0]}")
+        except (ValueError, msgspec.MsgspecError) as error:
+            return _refuse(400, str(error))
+        if self.is_down():  # a watch may have waited into the outage
+            raise CallerGoneError
+        if request.method in ("PUT", "DELETE"):
+            await self._wake()
+            if response.status == 200 and self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                self.counts["lost_answers"] += 1
+                raise CallerGoneError
+        return response
+
+    def stats(self) -> dict[str, int]:
+        """Return the number of calls by kind, of watches that wait, and the revision."""
+        waiting = {"watches_waiting": 0, "watches_waiting_peak": 0, "lost_answers": 0, "watch": 0}
+        kinds = dict.fromkeys(("get", "list", "put", "delete", "lease", "renew"), 0)
+        return {**kinds, **waiting, **self.core.counts, **self.counts} | {
+            "revision": self.core.revision
+        }
+
+    async def _suffer(self, method: str) -> None:
+        """Wait for the latency, the limit of calls a second and the faults in force."""
+        down = self.is_down()
+        if down == "refuse":
+            raise CallerGoneError
+        if down == "hang":
+            self.counts["hung"] += 1
+            await self._hang()
+            raise CallerGoneError
+        kind, rate = "read", self._settings.reads_per_s
+        if method != "GET":
+            kind, rate = "write", self._settings.writes_per_s
+        now = self._clock.now_ms()
+        start_ms = max(now, self._free_at_ms[kind])
+        self._free_at_ms[kind] = start_ms + 1000 / rate
+        delay_ms = start_ms - now + self._settings.latency_ms + self.faults.slow_ms
+        if delay_ms > 0:
+            await curio.sleep(delay_ms / 1000)
+
+    async def _hang(self) -> None:
+        end_ms = self._clock.now_ms() + _HANG_MS
+        while self.is_down() and self._clock.now_ms() < end_ms:
+            await curio.sleep(0.05)
+
+    async def _answer(self, request: Request) -> Response:
+        parts = request.path.split("/")[1:]
+        key = unquote("/".join(parts[2:]))
+        query, core = request.query, self.core
+        revision = query.get("if_revision")
+        if_revision = None if revision is None else int(revision)
+        match request.method, parts[:2]:
+            case "GET", ["v1", "kv"] if key:
+                item = core.get(key)
+                return _refuse(404, key) if item is None else Response.from_json(200, item)
+            case "GET", ["v1", "kv"]:
+                items = core.list(query.get("prefix", ""))
+                return Response.from_json(200, Listing(core.revision, items))
+            case "PUT", ["v1", "kv"] if key:
+                written = core.put(key, request.body, if_revision, query.get("lease", ""))
+                return Response.from_json(200, Written(written))
+            case "DELETE", ["v1", "kv"] if key:
+                return Response.from_json(200, Written(core.delete(key, if_revision)))
+            case "POST", ["v1", "leases"] if not key:
+                term = msgspec.json.decode(request.body, type=LeaseBody)
+                return Response.from_json(200, Lease(core.grant(term.ttl_ms)))
+            case "POST", ["v1", "leases"] if key.endswith("/renew"):
+                lease = key.removesuffix("/renew")
+                renewed = core.renew(lease)
+                return Response.from_json(200, Lease(lease)) if renewed else _refuse(404, lease)
+            case "GET", ["v1", "watch"]:
+                return await self._watch(query)
+        return _refuse(404, f"no such path: {request.method} {request.path[:200]}")
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        prefix, after = query.get("prefix", ""), int(query.get("after", "0"))
+        end_ms = self._clock.now_ms() + min(float(query.get("wait_ms", "0")), MAX_WAIT_MS)
+        self.counts["watch"] += 1
+        self.counts["watches_waiting"] += 1
+        peak = max(self.counts["watches_waiting_peak"], self.counts["watches_waiting"])
+        self.counts["watches_waiting_peak"] = peak
+        try:
+            while True:
+                events, compacted = self.core.events_after(prefix, after)
+                left_ms = end_ms - self._clock.now_ms()
+                if events or compacted or left_ms <= 0 or self.is_down():
+                    return Response.from_json(200, Changes(self.core.revision, events, compacted))
+                lapse_ms = self.core.next_expiry_ms() - self._clock.now_ms()
+                await self._wait_change(min(left_ms, max(lapse_ms, 1)))
+        finally:
+            self.counts["watches_waiting"] -= 1
+
+    async def _wait_change(self, timeout_ms: float) -> None:
+        await curio.ignore_after(timeout_ms / 1000, self._changed.wait)
+
+    async def _wake(self) -> None:
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
+    async def _take_faults(self, request: Request) -> Response:
+        try:
+            faults = msgspec.json.decode(request.body or b"{}", type=Faults)
+            if faults.down == "refuse" and faults.for_ms is None:
+                raise ValueError("for_ms: expected with down=refuse, which also refuses /faults")
+            await self.set_faults(faults)
+        except (ValueError, msgspec.MsgspecError) as error:
+            return _refuse(400, str(error))
+        return Response.from_json(200, self.faults)
+
+
+def _refuse(status: int, reason: str) -> Response:
+    return Response.from_json(status, {"reason": reason})
+
+
+class StoreServer:
+    """Serves a `StoreStandIn` over HTTP, and closes its port while connections are refused."""
+
+    def __init__(self, store: StoreStandIn, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.store = store
+        self.address = (host, port)
+        self._server: HttpServer | None = None
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the port is taken. ``address`` then has the port."""
+        limits = ServerLimits(connections=10_000, body_bytes=2_097_152)
+        server = HttpServer(self.store.handle, limits)
+        await server.start(*self.address)
+        self._server, self.address = server, server.address
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        if self._server is not None:
+            await self._server.stop(0)
+            self._server = None
+
+    async def run(self) -> None:
+        """Serve until cancelled, listening only while connections are not refused."""
+        try:
+            while True:
+                refuse = self.store.is_down() == "refuse"
+                if refuse and self._server is not None:
+                    await self.stop()
+                elif not refuse and self._server is None:
+                    await self.start()
+                await curio.sleep(0.02)
+        finally:
+            await self.stop()
