Add the HTTP client

The agent needs to know whether a request may have reached its upstream. The client returns whole responses only, tells NotSentError from ExchangeError by the bytes that left, never sends a request twice, and closes every connection whose exchange was not regular. Answers without a stated length are errors, because a truncated one ends like a whole one.

--- /dev/null
+++ b/snipewell/client.py
@@ -0,0 +1,302 @@
+"""HTTP client on h11 and curio for one address, with a bounded pool of connections.
+
+A caller must know whether a request may have been acted on. `NotSentError` says that no byte of it
+can have left this process; `ExchangeError` says that the peer may have received it, even if no
+answer came. No request is ever sent twice. A response is returned only when it is whole, and a
+connection is used again only after a whole and regular exchange.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator, Callable
+from urllib.parse import urlencode
+
+import curio
+import curio.io
+import h11
+
+from .outcome import SnipewellError, Step
+from .web import Request, Response
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+_READ_BYTES = 65_536
+_MAX_INFORMATIONAL = 8
+
+
+class NotSentError(SnipewellError):
+    """No byte of the request can have left: the peer has not seen it."""
+
+
+class ExchangeError(SnipewellError):
+    """The exchange broke after a byte may have left: the peer may have acted on the request."""
+
+
+class _BrokenError(Exception):
+    """The peer broke the protocol, or the answer is not whole."""
+
+
+class _Connection:
+    """One TCP connection; ``sent`` tells whether a byte of the present request has left."""
+
+    def __init__(self, sock: curio.io.Socket) -> None:
+        self._sock = sock
+        self._http = h11.Connection(h11.CLIENT)
+        self.sent = False
+
+    @classmethod
+    async def open(cls, address: str) -> _Connection:
+        """Connect to ``address`` (``ip:port``); raise OSError or ValueError."""
+        host, _, port = address.rpartition(":")
+        host = host.strip("[]")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        raw = socket.socket(family, socket.SOCK_STREAM)
+        sock = curio.io.Socket(raw)
+        try:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await sock.connect((host, int(port)))
+        except BaseException:
+            await sock.close()
+            raise
+        return cls(sock)
+
+    def is_usable(self) -> bool:
+        """Return whether an idle connection is still open and has no unexpected input."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def send(self, request: Request, host: str) -> None:
+        """Send ``request`` in full."""
+        self.sent = False
+        target = request.path
+        if request.query:
+            target += "?" + urlencode(request.query)
+        headers = [("Host", host), ("Content-Length", str(len(request.body)))]
+        pairs = [(name.encode(), value.encode()) for name, value in headers]
+        pairs += [(name.encode(), value.encode()) for name, value in request.headers.items()]
+        head = h11.Request(method=request.method, target=target, headers=pairs)
+        data = self._http.send(head) or b""
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        view = memoryview(data)
+        while view:
+            count = await self._sock.send(view)
+            self.sent = True
+            view = view[count:]
+
+    async def next_event(self) -> object:
+        """Return the next h11 event; raise _BrokenError if the peer closed between two answers."""
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._sock.recv(_READ_BYTES))
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                raise _BrokenError("the peer closed the connection without an answer")
+            else:
+                return event
+
+    async def read_head(self, method: str) -> Response:
+        """Return status and headers; raise _BrokenError if the body's end would be unclear."""
+        for _ in range(_MAX_INFORMATIONAL):
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                break
+        else:
+            raise _BrokenError("too many informational responses")
+        headers = {name.decode(): value.decode(errors="replace") for name, value in event.headers}
+        bodiless = method == "HEAD" or event.status_code in (204, 304)
+        if not bodiless and not headers.keys() & {"content-length", "transfer-encoding"}:
+            # Without a length, a truncated body ends like a whole one.
+            raise _BrokenError("the answer does not state its length")
+        return Response(event.status_code, headers)
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Return the whole body; raise _BrokenError if it is larger than ``max_bytes``."""
+        parts = []
+        size = 0
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > max_bytes:
+                    raise _BrokenError(f"the answer is larger than {max_bytes} bytes")
+                parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    def reset(self) -> bool:
+        """Prepare for another request; return False if the connection must be closed."""
+        if self._http.trailing_data[0]:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        await self._sock.close()
+
+
+_BROKEN = (OSError, h11.RemoteProtocolError, _BrokenError)
+
+
+class HttpPool:
+    """At most ``connections`` connections to ``address`` (``ip:port``), kept open between requests.
+
+    For example ``response = await HttpPool("127.0.0.1:8080").request(Request("GET", "/"), 500)``.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connections: int = 60,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        step: Step = Step.UPSTREAM,
+    ) -> None:
+        self.address = address
+        self._max_body_bytes = max_body_bytes
+        self._step = step
+        self._free = curio.Semaphore(connections)
+        self._idle: list[_Connection] = []
+
+    def _error(self, connection: _Connection | None, reason: str) -> SnipewellError:
+        sent = connection is not None and connection.sent
+        return (ExchangeError if sent else NotSentError)(self._step, self.address, reason)
+
+    async def request(
+        self, request: Request, timeout_ms: float, may_send: Callable[[], bool] | None = None
+    ) -> Response:
+        """Send ``request`` and return the whole response, within ``timeout_ms``.
+
+        ``may_send`` is called immediately before the first byte is sent; if it returns False, the
+        request is not sent. Raise NotSentError or ExchangeError. If the calling task is cancelled,
+        the connection is closed.
+        """
+        if timeout_ms <= 0:
+            raise NotSentError(self._step, self.address, "no time left")
+        holder: list[_Connection] = []
+        try:
+            async with curio.timeout_after(timeout_ms / 1000), self._free:
+                return await self._exchange(request, holder, may_send)
+        except curio.TaskTimeout:
+            reason = f"no whole answer within {timeout_ms:.0f} ms"
+            raise self._error(holder[0] if holder else None, reason) from None
+
+    async def _exchange(
+        self, request: Request, holder: list[_Connection], may_send: Callable[[], bool] | None
+    ) -> Response:
+        connection = await self._acquire()
+        holder.append(connection)
+        connection.sent = False
+        reusable = False
+        try:
+            if may_send is not None and not may_send():
+                raise NotSentError(self._step, self.address, "sending is no longer allowed")
+            await connection.send(request, self.address)
+            response = await connection.read_head(request.method)
+            response.body = await connection.read_body(self._max_body_bytes)
+            reusable = connection.reset()
+        except _BROKEN as error:
+            raise self._error(connection, str(error) or type(error).__name__) from error
+        except h11.LocalProtocolError as error:
+            raise self._error(connection, f"invalid request: {error}") from error
+        finally:
+            if reusable:
+                self._idle.append(connection)
+            else:
+                await connection.close()
+        return response
+
+    async def _acquire(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable():
+                return connection
+            await connection.close()
+        try:
+            return await _Connection.open(self.address)
+        except (OSError, ValueError) as error:
+            raise NotSentError(self._step, self.address, f"cannot connect: {error}") from error
+
+    async def stream(self, request: Request, timeout_ms: float, silence_ms: float) -> Response:
+        """Send ``request`` on a connection of its own and return the response with its ``stream``.
+
+        The head must arrive within ``timeout_ms``, and each part within ``silence_ms`` of the one
+        before. The connection is closed when the stream ends or fails; one that is given up
+        earlier is closed with `HttpStream.close`. Raise NotSentError or ExchangeError, also while
+        the stream is read.
+        """
+        connection: _Connection | None = None
+        response: Response | None = None
+        try:
+            async with curio.timeout_after(timeout_ms / 1000):
+                connection = await _Connection.open(self.address)
+                await connection.send(request, self.address)
+                response = await connection.read_head(request.method)
+        except (*_BROKEN, ValueError, curio.TaskTimeout) as error:
+            raise self._error(connection, str(error) or type(error).__name__) from error
+        finally:
+            if connection is not None and response is None:
+                await connection.close()
+        response.stream = HttpStream(connection, silence_ms, self._step, self.address)
+        return response
+
+    async def close(self) -> None:
+        """Close the idle connections; those in use are closed when their requests end."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
+class HttpStream(AsyncIterator[bytes]):
+    """The parts of a response's body as they arrive; a truncated body raises ExchangeError."""
+
+    def __init__(
+        self, connection: _Connection, silence_ms: float, step: Step, address: str
+    ) -> None:
+        self._connection: _Connection | None = connection
+        self._silence_ms = silence_ms
+        self._step = step
+        self._address = address
+
+    async def __anext__(self) -> bytes:
+        while self._connection is not None:
+            try:
+                async with curio.timeout_after(self._silence_ms / 1000):
+                    event = await self._connection.next_event()
+            except (*_BROKEN, curio.TaskTimeout) as error:
+                await self.close()
+                reason = str(error) or type(error).__name__
+                raise ExchangeError(self._step, self._address, reason) from error
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            await self.close()
+        raise StopAsyncIteration
+
+    async def close(self) -> None:
+        """Close the connection; the stream ends."""
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            await connection.close()
+
+
+async def fetch(
+    address: str,
+    request: Request,
+    timeout_ms: float,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    step: Step = Step.EDGE,
+) -> Response:
+    """Send one request to ``address`` (``ip:port``) on a connection that is closed afterwards.
+
+    Raise NotSentError or ExchangeError.
+    """
+    pool = HttpPool(address, 1, max_body_bytes, step)
+    try:
+        return await pool.request(request, timeout_ms)
+    finally:
+        await pool.close()
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from snipewell.client import ExchangeError, HttpPool, NotSentError, fetch
+from snipewell.web import Request
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+GET = Request("GET", "/")
+
+
+class Peer:
+    """A server that gives the next scripted answer to whatever it receives.
+
+    ``None`` stays silent, ``b""`` closes; ``"close"`` as a second item closes after the answer.
+    """
+
+    def __init__(self, *answers: bytes | tuple[bytes, str] | None) -> None:
+        self.answers = list(answers)
+        self.received: list[bytes] = []
+        self.connections = 0
+        self.address = ""
+
+    async def serve(self, client: curio.io.Socket, _address: object) -> None:
+        self.connections += 1
+        while data := await client.recv(65_536):
+            self.received.append(data)
+            answer = self.answers.pop(0)
+            if answer is None:
+                await curio.sleep(60)
+                return
+            body, close = answer if isinstance(answer, tuple) else (answer, "")
+            await client.sendall(body)
+            if close or not body:
+                return
+
+
+def run(peer: Peer, scenario: Callable[[HttpPool], Awaitable[None]], **limits: int) -> None:
+    async def bounded() -> None:
+        listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+        peer.address = ":".join(map(str, listener.getsockname()))
+        pool = HttpPool(peer.address, **limits)
+        async with curio.timeout_after(20):
+            server = await curio.spawn(curio.network.run_server, listener, peer.serve)
+            await scenario(pool)
+            await pool.close()
+            await server.cancel()
+
+    curio.run(bounded)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", "close"),
+        (CHUNKED + b"4\r\nhalf\r\n", "close"),
+        (b"HTTP/1.1 200 OK\r\n\r\nno length", "close"),
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n" + b"x" * 9999,
+        b"not http at all\r\n\r\n",
+        b"",
+        None,
+    ],
+)
+def test_an_answer_that_is_not_whole_is_an_error_and_its_connection_is_not_reused(
+    answer: bytes | tuple[bytes, str] | None,
+) -> None:
+    """Guards against a part of an answer passed on as whole, and against crossed answers."""
+    peer = Peer(answer, OK)
+
+    async def scenario(pool: HttpPool) -> None:
+        with pytest.raises(ExchangeError):
+            await pool.request(GET, 300)
+        assert len(peer.received) == 1
+        assert (await pool.request(GET, 5_000)).body == b"ok"
+        assert peer.connections == 2
+
+    run(peer, scenario, max_body_bytes=1_000)
+
+
+def test_idle_connection_is_reused_and_one_that_the_peer_closed_is_noticed_before_sending() -> None:
+    """Guards against a needless ExchangeError after the upstream closed an idle connection."""
+    peer = Peer(OK, (OK, "close"), OK)
+
+    async def scenario(pool: HttpPool) -> None:
+        assert (await pool.request(GET, 5_000)).body == b"ok"
+        assert (await pool.request(GET, 5_000)).body == b"ok"
+        assert peer.connections == 1
+        await curio.sleep(0.05)
+        assert (await pool.request(GET, 5_000)).body == b"ok"
+        assert peer.connections == 2
+
+    run(peer, scenario)
+
+
+def test_request_is_not_resent_when_a_reused_connection_breaks() -> None:
+    """Guards against work done twice when the upstream read the request and then closed."""
+    peer = Peer(OK, b"", OK)
+
+    async def scenario(pool: HttpPool) -> None:
+        await pool.request(GET, 5_000)
+        with pytest.raises(ExchangeError):
+            await pool.request(Request("POST", "/", body=b"work"), 5_000)
+        assert len(peer.received) == 2
+
+    run(peer, scenario)
+
+
+def test_not_sent_is_told_apart() -> None:
+    """Guards against an unknown outcome where the request certainly did not leave."""
+    peer = Peer(None)
+
+    async def scenario(pool: HttpPool) -> None:
+        with pytest.raises(NotSentError):
+            await fetch("127.0.0.1:9", GET, 1_000)
+        with pytest.raises(NotSentError):
+            await pool.request(GET, 1_000, may_send=lambda: False)
+        with pytest.raises(NotSentError):
+            await pool.request(Request("GET", "/", headers={"bad name": "x"}), 1_000)
+        blocker = await curio.spawn(pool.request, GET, 60_000)
+        while not peer.received:
+            await curio.sleep(0.005)
+        with pytest.raises(NotSentError):
+            await pool.request(GET, 100)
+        await blocker.cancel()
+        assert len(peer.received) == 1
+
+    run(peer, scenario, connections=1)
+
+
+def test_stream_gives_parts_and_reports_truncation() -> None:
+    """Guards against a watch that ends like a whole answer when its connection broke."""
+    peer = Peer(
+        CHUNKED + b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n", (CHUNKED + b"1\r\na\r\n5\r\nb", "close")
+    )
+
+    async def scenario(pool: HttpPool) -> None:
+        whole = await pool.stream(GET, 1_000, 1_000)
+        assert whole.stream is not None
+        assert b"".join([part async for part in whole.stream]) == b"ab"
+        broken = await pool.stream(GET, 1_000, 1_000)
+        assert broken.stream is not None
+        with pytest.raises(ExchangeError):
+            async for _ in broken.stream:
+                pass
+
+    run(peer, scenario)
