--- /dev/null
+++ b/snipewell/edge.py
@@ -0,0 +1,303 @@
+"""The callers' side of an entry: HTTP requests in, submissions to the core, outcomes back."""
+
+from __future__ import annotations
+
+import base64
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+import curio
+import msgspec
+
+from .clock import Clock
+from .effect import Submission
+from .filters import (
+    Exchange,
+    filter_body,
+    filter_route,
+    filter_team,
+    find_service,
+    limit_deadline,
+    limit_key,
+    limit_size,
+    require_operator,
+    run_filters,
+)
+from .ids import EntryId, Partition, RequestId, ScopedKey, digest_of, scope_key
+from .log import Log
+from .message import Progress, ProgressReply, Resources, TicketRequest, Tickets
+from .metrics import Metrics
+from .outcome import (
+    Cancelled,
+    Complete,
+    Conflict,
+    Failed,
+    Impossible,
+    Invalid,
+    NotRun,
+    Outcome,
+    Step,
+    Unknown,
+    http_status,
+)
+from .resource import ServiceSpec
+from .server import response_from_invalid
+from .settings import EntrySettings
+from .web import Request, Response
+
+REPLY_GRACE_MS = 2_000.0
+"""Beyond the deadline, after which the core must have answered; it answers itself before that."""
+POLL_MS = 50.0
+"""How often the progress of a job is asked while a caller waits for its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelKey:
+    """A local caller cancels the submission of ``key``."""
+
+    request: RequestId
+    key: ScopedKey
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The local caller of ``request`` went away."""
+
+    request: RequestId
+
+
+Question = Submission | CancelKey | Progress | TicketRequest
+Answered = Outcome | ProgressReply | Tickets
+
+
+class Core(Protocol):
+    """What the edge needs of the daemon: to ask its core, and to read what is in force."""
+
+    async def ask(self, question: Question, timeout_ms: float) -> Answered | None:
+        """Return the core's answer, or None if there was none in time or no room to wait."""
+        ...
+
+    def find_service(self, name: Any) -> ServiceSpec | None:
+        """Return a service in force."""
+        ...
+
+    def is_loaded(self) -> bool:
+        """Return whether the configuration has been loaded."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Return whether this entry should get new requests."""
+        ...
+
+    def list_entries(self) -> list[dict[str, str]]:
+        """Return the registered entries."""
+        ...
+
+    def ticket_partition(self) -> Partition | None:
+        """Return a partition to issue tickets of."""
+        ...
+
+
+class Edge:
+    """The handler of an entry's HTTP server.
+
+    ``handle_resource`` serves the paths of the resource API.
+    """
+
+    def __init__(
+        self,
+        entry: EntryId,
+        settings: EntrySettings,
+        token: str | None,
+        core: Core,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+        log: Log,
+        handle_resource: Callable[[Request], Awaitable[Response]],
+    ) -> None:
+        self._entry = entry
+        self._core = core
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._handle_resource = handle_resource
+        self._nonce = f"{rng.getrandbits(32):08x}"
+        self._sequence = 0
+        self._chain = (
+            filter_route,
+            limit_size(settings.http.body_bytes),
+            require_operator(token),
+            filter_team,
+            limit_key(settings.key_bytes),
+            limit_deadline(settings.max_deadline_ms),
+            filter_body,
+            find_service(core.find_service, core.is_loaded),
+        )
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; the caller gets an outcome in every case."""
+        exchange = Exchange(request)
+        invalid = run_filters(self._chain, exchange)
+        if invalid is not None:
+            self._metrics.count("refused_requests", status=str(invalid.status))
+            self._log.debug("edge", "refused a request", status=invalid.status, why=invalid.reason)
+            return response_from_invalid(invalid)
+        match exchange.route.action:
+            case "request" | "job":
+                return await self._submit(exchange)
+            case "job_status":
+                return await self._report(exchange)
+            case "job_cancel":
+                return await self._cancel(exchange)
+            case "keys":
+                return await self._issue(exchange)
+            case "resource":
+                return await self._handle_resource(request)
+            case action:
+                return self._report_self(action)
+
+    def _report_self(self, action: str) -> Response:
+        match action:
+            case "entries":
+                return Response.from_json(200, {"entries": self._core.list_entries()})
+            case "metrics":
+                text = self._metrics.render().encode()
+                return Response(200, {"content-type": "text/plain; version=0.0.4"}, text)
+            case "readyz" if not self._core.is_ready():
+                return Response.from_json(503, {"ready": False})
+        return Response.from_json(200, {"entry": self._entry, "ready": self._core.is_ready()})
+
+    def _next_request(self) -> RequestId:
+        self._sequence += 1
+        return RequestId(f"{self._entry}/{self._nonce}/{self._sequence}")
+
+    async def _submit(self, exchange: Exchange) -> Response:
+        spec = exchange.spec
+        assert spec is not None
+        started_ms = self._clock.now_ms()
+        submission = Submission(
+            self._next_request(),
+            self._entry,
+            scope_key(exchange.team, exchange.key),
+            digest_of(exchange.service, exchange.tasks),
+            exchange.service,
+            exchange.team,
+            exchange.tasks,
+            started_ms + exchange.deadline_ms,
+            exchange.route.action == "job",
+            spec.idempotent,
+            exchange.resources or Resources(),
+        )
+        answer = await self._core.ask(submission, exchange.deadline_ms + REPLY_GRACE_MS)
+        outcome = _expect_outcome(answer)
+        self._metrics.count("outcomes", outcome=tag_of(outcome))
+        self._metrics.observe_ms("request", self._clock.now_ms() - started_ms)
+        return respond(outcome, submission.job)
+
+    async def _cancel(self, exchange: Exchange) -> Response:
+        key = scope_key(exchange.team, exchange.key)
+        answer = await self._core.ask(CancelKey(self._next_request(), key), 10_000)
+        return respond(_expect_outcome(answer), True)
+
+    async def _report(self, exchange: Exchange) -> Response:
+        """Answer with the kept outcome of a job or its progress, after at most the wait asked."""
+        key = scope_key(exchange.team, exchange.key)
+        until_ms = self._clock.now_ms() + exchange.wait_ms
+        while True:
+            answer = await self._core.ask(
+                Progress(self._next_request(), self._entry, key, False), 5_000
+            )
+            if answer is None:
+                return respond(Unknown(Step.FORWARD, "home", "no answer on the progress"), True)
+            if not isinstance(answer, ProgressReply):
+                return respond(_expect_outcome(answer), True)
+            left_ms = until_ms - self._clock.now_ms()
+            if not answer.known or left_ms <= 0:
+                return _respond_progress(answer)
+            await curio.sleep(min(POLL_MS, left_ms) / 1000)
+
+    async def _issue(self, exchange: Exchange) -> Response:
+        partition = self._core.ticket_partition()
+        if partition is not None:
+            message = TicketRequest(self._next_request(), self._entry, partition, exchange.count)
+            answer = await self._core.ask(message, 5_000)
+            if isinstance(answer, Tickets) and answer.keys:
+                return Response.from_json(200, {"keys": answer.keys})
+        invalid = Invalid(503, "no home could issue tickets; this attempt was not accepted")
+        response = response_from_invalid(invalid)
+        response.headers["retry-after"] = "1"
+        return response
+
+
+def _expect_outcome(answer: Answered | None) -> Outcome:
+    if answer is None or isinstance(answer, ProgressReply | Tickets):
+        return Unknown(Step.EDGE, "entry", "no answer in time")
+    return answer
+
+
+def tag_of(outcome: Outcome) -> str:
+    """Return the name of the outcome's kind, for example ``not_run``."""
+    return str(outcome.__struct_config__.tag)
+
+
+def respond(outcome: Outcome, job: bool) -> Response:
+    """Return the HTTP response for ``outcome``; a single request's Complete is its body as is."""
+    headers = {"snipewell-outcome": tag_of(outcome)}
+    status = http_status(outcome)
+    if isinstance(outcome, Complete) and not job:
+        headers["content-type"] = "application/octet-stream"
+        return Response(status, headers, outcome.results[0] if outcome.results else b"")
+    if isinstance(outcome, Invalid):
+        return response_from_invalid(outcome)
+    if isinstance(outcome, NotRun | Unknown):
+        headers["retry-after"] = str(max(1, math.ceil(outcome.retry_after_ms / 1000)))
+    return Response.from_json(status, {"outcome": tag_of(outcome), **_fields_of(outcome)}, headers)
+
+
+def _fields_of(outcome: Outcome) -> dict[str, object]:
+    match outcome:
+        case Complete(results):
+            return {"results": [_json_of(body) for body in results]}
+        case Failed(step, peer, reason):
+            return {"step": step.value, "peer": peer, "reason": reason}
+        case NotRun(reason, retry_after_ms):
+            return {"reason": reason, "retry_after_ms": retry_after_ms}
+        case Unknown(step, peer, reason, started, retry_after_ms):
+            return {
+                "step": step.value,
+                "peer": peer,
+                "reason": reason,
+                "this_attempt": "started" if started else "not_started",
+                "retry_after_ms": retry_after_ms,
+            }
+        case Impossible(reason) | Conflict(reason):
+            return {"reason": reason}
+        case Cancelled(started):
+            return {"started": started}
+        case Invalid(_, reason, field):
+            return {"reason": reason, "field": field}
+
+
+def _json_of(body: bytes) -> object:
+    """Return a result as JSON if it is JSON, otherwise as text or, failing that, as base64."""
+    try:
+        msgspec.json.decode(body)
+        return msgspec.Raw(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        pass
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return {"base64": base64.b64encode(body).decode()}
+
+
+def _respond_progress(reply: ProgressReply) -> Response:
+    if not reply.known:
+        body = {"outcome": "unknown_key", "reason": "no record of this key at its home"}
+        return Response.from_json(404, body, {"snipewell-outcome": "unknown_key"})
+    progress = {"outcome": "running", "finished": reply.finished, "total": reply.total}
+    return Response.from_json(202, progress, {"snipewell-outcome": "running"})
--- a/snipewell/settings.py
+++ b/snipewell/settings.py
@@ -106,7 +106,7 @@
         )
         _check(
             self.freshness_ms + self.permit_ttl_ms < ZONE_STOP_MS,
-            f"freshness_ms: expected freshness_ms + permit_ttl_ms below {ZONE_STOP_MS}, "
+            f"permit_ttl_ms: expected freshness_ms + permit_ttl_ms below {ZONE_STOP_MS}, "
             f"got {self.freshness_ms + self.permit_ttl_ms:g}",
         )
         _check(
--- /dev/null
+++ b/snipewell/standins/balancer.py
@@ -0,0 +1,133 @@
+"""Stand-in for the platform's load balancer: spreads TCP connections over ready entries."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+from curio import socket
+
+from ..client import HttpPool
+from ..outcome import SnipewellError
+from ..settings import BalancerSettings, split_address
+from ..web import Request
+
+_CHUNK_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 1.0
+_CHECK_TIMEOUT_MS = 500
+
+
+class Balancer:
+    """Accepts connections on one address and relays each to an entry, in turn.
+
+    An entry takes new connections while its ``/readyz`` answers 200. Relayed connections stay
+    until either side closes. A connection that finds no entry ready is closed.
+    """
+
+    def __init__(self, settings: BalancerSettings) -> None:
+        self.settings = settings
+        self.address = ""
+        self.ready: list[str] = []
+        self._entries = list(settings.entries)
+        self._pools: dict[str, HttpPool] = {}
+        self._next = 0
+        self._open = 0
+        self._listener: Any = None
+        self._tasks = curio.TaskGroup()
+
+    def set_entries(self, entries: list[str]) -> None:
+        """Replace the addresses (``ip:port``) that are checked."""
+        self._entries = list(entries)
+        self.ready = [entry for entry in self.ready if entry in entries]
+
+    async def start(self) -> None:
+        """Listen and begin to check the entries; raise OSError if the address is in use."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.settings.host, self.settings.port))
+        listener.listen(1024)
+        self._listener = listener
+        host, port = listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        await self._tasks.spawn(self._accept)
+        await self._tasks.spawn(self._check)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        await self._tasks.cancel_remaining()
+        if self._listener is not None:
+            await self._listener.close()
+        for pool in self._pools.values():
+            await pool.close()
+
+    async def _check(self) -> None:
+        while True:
+            async with curio.TaskGroup() as checks:
+                for entry in self._entries:
+                    await checks.spawn(self._check_one, entry)
+            await curio.sleep(self.settings.check_interval_ms / 1000)
+
+    async def _check_one(self, entry: str) -> None:
+        pool = self._pools.setdefault(entry, HttpPool(entry, 1))
+        try:
+            response = await pool.request(Request("GET", "/readyz"), _CHECK_TIMEOUT_MS)
+            is_ready = response.status == 200
+        except SnipewellError:
+            is_ready = False
+        if is_ready and entry not in self.ready and entry in self._entries:
+            self.ready.append(entry)
+        elif not is_ready and entry in self.ready:
+            self.ready.remove(entry)
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = await self._listener.accept()
+            except OSError:
+                await curio.sleep(0.02)
+                continue
+            if self._open >= self.settings.connections:
+                await caller.close()
+            else:
+                await curio.spawn(self._serve, caller, daemon=True)
+
+    async def _serve(self, caller: Any) -> None:
+        """Relay one connection until both directions have ended."""
+        self._open += 1
+        entry = None
+        try:
+            entry = await self._connect()
+            if entry is not None:
+                async with curio.TaskGroup(wait=any) as relay:
+                    await relay.spawn(_copy, caller, entry)
+                    await relay.spawn(_copy, entry, caller)
+        finally:
+            self._open -= 1
+            await caller.close()
+            if entry is not None:
+                await entry.close()
+
+    async def _connect(self) -> Any:
+        """Return a connection to the next ready entry, or None if there is none."""
+        for _ in range(len(self.ready)):
+            if not self.ready:
+                break
+            self._next = (self._next + 1) % len(self.ready)
+            entry = self.ready[self._next]
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await curio.timeout_after(_CONNECT_TIMEOUT_S, sock.connect, split_address(entry))
+            except (OSError, curio.TaskTimeout):
+                await sock.close()
+                continue
+            return sock
+        return None
+
+
+async def _copy(source: Any, target: Any) -> None:
+    try:
+        while data := await source.recv(_CHUNK_BYTES):
+            await target.sendall(data)
+    except OSError:
+        pass
