--- a/snipewell/standins/keyvalue.py
+++ b/snipewell/standins/keyvalue.py
@@ -48,7 +48,7 @@
         self.expire()
         return self._items.get(key)
 
-    def list(self, prefix: str) -> list[Item]:
+    def list_prefix(self, prefix: str) -> list[Item]:
         """Return the items whose keys start with ``prefix``, by key."""
         self.counts["list"] += 1
         self.expire()
--- a/snipewell/standins/store.py
+++ b/snipewell/standins/store.py
@@ -126,7 +126,7 @@
                 item = core.get(key)
                 return _refuse(404, key) if item is None else Response.from_json(200, item)
             case "GET", ["v1", "kv"]:
-                items = core.list(query.get("prefix", ""))
+                items = core.list_prefix(query.get("prefix", ""))
                 return Response.from_json(200, Listing(core.revision, items))
             case "PUT", ["v1", "kv"] if key:
                 written = core.put(key, request.body, if_revision, query.get("lease", ""))
--- /dev/null
+++ b/snipewell/store.py
@@ -0,0 +1,292 @@
+"""Client of the platform's key-value service.
+
+Writes are compare-and-swap only. Every value is stored behind the random token of its writer, so
+that a write whose answer was lost is resolved by reading back: a write is never sent twice.
+"""
+
+from __future__ import annotations
+
+import re
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
+from urllib.parse import quote
+
+import curio
+import msgspec
+
+from . import keyvalue
+from .client import ExchangeError, NotSentError
+from .clock import Clock
+from .ids import Revision
+from .message import Snapshot
+from .outcome import SnipewellError, Step
+from .web import Request, Response
+
+READ_BACK_MS = (0, 25, 75, 200)
+"""Pauses before each attempt to read back a write whose answer was lost."""
+_ENVELOPE = re.compile(rb"[0-9a-f]{16}\n")
+_ENVELOPE_BYTES = 17
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class Pool(Protocol):
+    """What the store needs of an HTTP client."""
+
+    async def request(self, request: Request, timeout_ms: float) -> Response:
+        """Return the response; raise NotSentError or ExchangeError."""
+        ...
+
+
+class StoreError(SnipewellError):
+    """A call to the store failed; ``peer`` is the store's address."""
+
+    def __init__(self, peer: str, reason: str) -> None:
+        super().__init__(Step.STORE, peer, reason)
+
+
+class StoreUnreachableError(StoreError):
+    """The store did not answer; a write that raises this did not take effect."""
+
+
+class StoreConflictError(StoreError):
+    """A write did not take effect: the key is at ``revision``, 0 if it does not exist."""
+
+    def __init__(self, peer: str, reason: str, revision: int) -> None:
+        super().__init__(peer, reason)
+        self.revision = revision
+
+
+class StoreUnknownError(StoreError):
+    """The answer of a write was lost and reading back did not settle it.
+
+    ``changed`` says that the key has since been changed by another writer, possibly on top of this
+    write. Otherwise the write may still be on its way.
+    """
+
+    def __init__(self, peer: str, reason: str, changed: bool) -> None:
+        super().__init__(peer, reason)
+        self.changed = changed
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """A stored value without its envelope, and the revision of its last change."""
+
+    revision: Revision
+    value: bytes
+    lease: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All values under a prefix at the store's ``revision``, asked for at ``sent_at_ms``."""
+
+    sent_at_ms: float
+    revision: Revision
+    values: dict[str, Value]
+
+    def to_snapshot(self) -> Snapshot:
+        """Return the values at the highest revision among them."""
+        highest = max((v.revision for v in self.values.values()), default=Revision(0))
+        return Snapshot(highest, {key: v.value for key, v in self.values.items()})
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of a key; ``value`` is empty if it was deleted."""
+
+    key: str
+    revision: Revision
+    value: bytes
+    deleted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes in order, and the store's ``revision``, asked for at ``sent_at_ms``."""
+
+    sent_at_ms: float
+    revision: Revision
+    changes: list[Change] = field(default_factory=list)
+    compacted: bool = False
+
+
+class Store:
+    """The key-value service at ``address``, reached over an HTTP ``pool``.
+
+    Every method raises StoreUnreachableError if there is no answer within ``timeout_ms``.
+    """
+
+    def __init__(self, pool: Pool, address: str, clock: Clock, timeout_ms: float = 1_000) -> None:
+        self._pool = pool
+        self._address = address
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+
+    async def get(self, key: str) -> Value | None:
+        """Return the value of ``key``, or None if it does not exist."""
+        response = await self._read(Request("GET", _path(key)))
+        if response.status == 404:
+            return None
+        return _open(self._decode(response, keyvalue.Item))
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all values under ``prefix``, as they were at one moment."""
+        sent_at_ms = self._clock.now_ms()
+        response = await self._read(Request("GET", "/v1/kv", {"prefix": prefix}))
+        listing = self._decode(response, keyvalue.Listing)
+        values = {item.key: _open(item) for item in listing.items}
+        return Listing(sent_at_ms, Revision(listing.revision), values)
+
+    async def watch(self, prefix: str, after: Revision, wait_ms: float) -> Changes:
+        """Return the changes under ``prefix`` after a revision, waiting at most ``wait_ms``."""
+        sent_at_ms = self._clock.now_ms()
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_ms))}
+        response = await self._read(Request("GET", "/v1/watch", query), wait_ms)
+        answer = self._decode(response, keyvalue.Changes)
+        changes = [
+            Change(e.key, Revision(e.revision), _strip(e.value), e.deleted) for e in answer.events
+        ]
+        return Changes(sent_at_ms, Revision(answer.revision), changes, answer.compacted)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, if_revision: int, lease: str = ""
+    ) -> Revision:
+        """Write ``value`` if ``key`` is at ``if_revision`` (0: does not exist); return the revision.
+
+        A lost answer is resolved by reading back. Raises StoreConflictError, StoreUnknownError, or
+        StoreError if the service rejects the value or the lease has lapsed.
+        """
+        query = {"if_revision": str(if_revision)}
+        if lease:
+            query["lease"] = lease
+        body = secrets.token_hex(8).encode() + b"\n" + value
+        request = Request("PUT", _path(key), query, {}, body)
+        return await self._write(request, key, if_revision, lambda item: item.value == body)
+
+    async def delete(self, key: str, if_revision: int) -> Revision:
+        """Delete ``key`` if it is at ``if_revision``; errors as with ``compare_and_swap``."""
+        request = Request("DELETE", _path(key), {"if_revision": str(if_revision)})
+        return await self._write(request, key, if_revision, None)
+
+    async def lease(self, ttl_ms: int) -> str:
+        """Return a new lease. One whose answer was lost lapses unused."""
+        body = msgspec.json.encode(keyvalue.LeaseBody(ttl_ms))
+        response = await self._read(Request("POST", "/v1/leases", {}, {}, body))
+        return self._decode(response, keyvalue.Lease).lease
+
+    async def renew(self, lease: str) -> bool:
+        """Extend ``lease``; return False if it has lapsed. Repeating this call does no harm."""
+        response = await self._read(Request("POST", f"/v1/leases/{quote(lease)}/renew"))
+        return response.status != 404
+
+    async def _read(self, request: Request, wait_ms: float = 0) -> Response:
+        """Make a call that may be repeated; return a response of status 200 or 404."""
+        try:
+            response = await self._pool.request(request, self._timeout_ms + wait_ms)
+        except (NotSentError, ExchangeError) as error:
+            raise StoreUnreachableError(self._address, str(error)) from None
+        if response.status not in (200, 404):
+            reason = f"{request.method} {request.path} was answered with {response.status}"
+            raise StoreUnreachableError(self._address, reason)
+        return response
+
+    async def _write(
+        self,
+        request: Request,
+        key: str,
+        if_revision: int,
+        is_own: Callable[[keyvalue.Item], bool] | None,
+    ) -> Revision:
+        try:
+            response = await self._pool.request(request, self._timeout_ms)
+        except NotSentError as error:
+            raise StoreUnreachableError(self._address, str(error)) from None
+        except ExchangeError as error:
+            return await self._read_back(key, if_revision, is_own, str(error))
+        if response.status >= 500:
+            reason = f"answered with {response.status}"
+            return await self._read_back(key, if_revision, is_own, reason)
+        if response.status == 409:
+            current = self._decode(response, keyvalue.Written).revision
+            reason = f"{key}: expected revision {if_revision}, it is at {current}"
+            raise StoreConflictError(self._address, reason, current)
+        if response.status == 404 and is_own is None:
+            raise StoreConflictError(self._address, f"{key}: does not exist", 0)
+        if response.status != 200:
+            text = response.body[:200].decode(errors="replace")
+            raise StoreError(self._address, f"{key}: answered with {response.status}: {text}")
+        return Revision(self._decode(response, keyvalue.Written).revision)
+
+    async def _read_back(
+        self,
+        key: str,
+        if_revision: int,
+        is_own: Callable[[keyvalue.Item], bool] | None,
+        reason: str,
+    ) -> Revision:
+        """Find out whether a write took effect; ``is_own`` is None for a deletion."""
+        for pause_ms in READ_BACK_MS:
+            await curio.sleep(pause_ms / 1000)
+            try:
+                response = await self._read(Request("GET", _path(key)))
+            except StoreUnreachableError:
+                continue
+            if response.status == 404:
+                if is_own is None:
+                    return Revision(0)
+                current = 0
+            else:
+                item = self._decode(response, keyvalue.Item)
+                if is_own is not None and is_own(item):
+                    return Revision(item.revision)
+                current = item.revision
+            if current != if_revision:
+                text = f"{key}: {reason}; meanwhile it changed to revision {current}"
+                raise StoreUnknownError(self._address, text, True)
+        text = f"{key}: {reason}; the write has not taken effect so far"
+        raise StoreUnknownError(self._address, text, False)
+
+    def _decode(self, response: Response, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(response.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise StoreUnreachableError(self._address, f"malformed answer: {error}") from None
+
+
+class Follower:
+    """Follows all changes under a prefix, and lists anew when the store has forgotten some.
+
+    ``next`` returns a `Listing` first, then `Changes`; a `Listing` again after the store forgot
+    changes or went back to an earlier revision.
+    """
+
+    def __init__(self, store: Store, prefix: str) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._after: Revision | None = None
+
+    async def next(self, wait_ms: float) -> Listing | Changes:
+        """Return what is new, after ``wait_ms`` at the latest; raise StoreUnreachableError."""
+        if self._after is not None:
+            changes = await self._store.watch(self._prefix, self._after, wait_ms)
+            if changes.revision >= self._after and not changes.compacted:
+                self._after = changes.revision
+                return changes
+        listing = await self._store.list(self._prefix)
+        self._after = listing.revision
+        return listing
+
+
+def _path(key: str) -> str:
+    return "/v1/kv/" + quote(key, safe="/")
+
+
+def _strip(value: bytes) -> bytes:
+    return value[_ENVELOPE_BYTES:] if _ENVELOPE.match(value) else value
+
+
+def _open(item: keyvalue.Item) -> Value:
+    return Value(Revision(item.revision), _strip(item.value), item.lease)
