--- a/snipewell/standins/store.py
+++ b/snipewell/standins/store.py
@@ -1,19 +1,23 @@
 """The stand-in for the platform's key-value service: faults, counts and an HTTP face.
 
-`StoreServer` serves a `StoreStandIn` over HTTP. ``GET /stats`` counts calls and waiting watches;
-``POST /faults`` takes `Faults` as JSON.
+``StoreStandIn.request`` can stand in for an HTTP client's pool within one process; `StoreServer`
+serves the same over HTTP. ``GET /stats`` counts calls and waiting watches; ``POST /faults`` takes
+`Faults` as JSON.
 """
 
 from __future__ import annotations
 
 from collections import Counter
+from typing import cast
 from urllib.parse import unquote
 
 import curio
 import msgspec
 
+from ..client import ExchangeError, NotSentError
 from ..clock import Clock, SystemClock
 from ..keyvalue import Changes, Lease, LeaseBody, Listing, Written
+from ..outcome import Step
 from ..server import CallerGoneError, HttpServer, ServerLimits
 from ..settings import StoreSettings
 from ..web import Request, Response
@@ -83,6 +87,21 @@
                 raise CallerGoneError
         return response
 
+    async def request(self, request: Request, timeout_ms: float) -> Response:
+        """Answer like an HTTP client's pool: raise NotSentError or ExchangeError on faults."""
+        if self.is_down() == "refuse":
+            raise NotSentError(Step.STORE, "stand-in", "connection refused")
+        try:
+            return cast(
+                Response, await curio.timeout_after(timeout_ms / 1000, self.handle, request)
+            )
+        except curio.TaskTimeout:
+            raise ExchangeError(
+                Step.STORE, "stand-in", f"no answer within {timeout_ms:g} ms"
+            ) from None
+        except CallerGoneError:
+            raise ExchangeError(Step.STORE, "stand-in", "closed before the answer") from None
+
     def stats(self) -> dict[str, int]:
         """Return the number of calls by kind, of watches that wait, and the revision."""
         waiting = {"watches_waiting": 0, "watches_waiting_peak": 0, "lost_answers": 0, "watch": 0}
--- a/snipewell/store.py
+++ b/snipewell/store.py
@@ -154,7 +154,7 @@
     async def compare_and_swap(
         self, key: str, value: bytes, if_revision: int, lease: str = ""
     ) -> Revision:
-        """Write ``value`` if ``key`` is at ``if_revision`` (0: does not exist); return the revision.
+        """Write ``value`` if ``key`` is at ``if_revision`` (0: absent); return the new revision.
 
         A lost answer is resolved by reading back. Raises StoreConflictError, StoreUnknownError, or
         StoreError if the service rejects the value or the lease has lapsed.
