--- /dev/null
+++ b/snipewell/holder.py
@@ -0,0 +1,223 @@
+"""Records that this entry holds for partitions whose home is elsewhere."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from .clock import Clock
+from .ids import EntryId, Epoch, Partition, ScopedKey
+from .limits import HomeLimits, Protections
+from .message import (
+    Copied,
+    Copy,
+    Fetch,
+    Fetched,
+    Held,
+    Hold,
+    HoldRefused,
+    KeyRecord,
+    PeerMessage,
+    Release,
+)
+from .outcome import Complete, NotRun
+
+
+@dataclass(slots=True)
+class _Kept:
+    record: KeyRecord
+    received_at_ms: float
+    drop_at_ms: float
+    size: int
+
+
+def record_size(record: KeyRecord) -> int:
+    """Return about how many bytes ``record`` takes, in memory and in a message."""
+    size = 64 + len(record.key) + 32 * len(record.candidates)
+    if isinstance(record.outcome, Complete):
+        size += sum(map(len, record.outcome.results))
+    return size
+
+
+def merge_records(old: KeyRecord, new: KeyRecord) -> KeyRecord:
+    """Return what two records of one key say together, in whichever order they arrived.
+
+    The newer one by (epoch, version) wins, an ended one over a running one of the same version.
+    All candidates of both remain, since either set may have been granted tasks.
+    """
+
+    def order(record: KeyRecord) -> tuple[int, int, bool, bool]:
+        return record.epoch, record.version, record.age_ms >= 0, record.outcome is not None
+
+    newest = max(old, new, key=order)
+    if old.candidates == new.candidates:
+        return newest
+    known = {(c.agent, c.incarnation): c for c in (*old.candidates, *new.candidates)}
+    if len(known) == len(newest.candidates):
+        return newest
+    return replace(newest, candidates=[known[name] for name in sorted(known)])
+
+
+def aged(record: KeyRecord, elapsed_ms: float) -> KeyRecord:
+    """Return ``record`` as it is ``elapsed_ms`` after it was received."""
+    return replace(
+        record,
+        age_ms=record.age_ms + elapsed_ms if record.age_ms >= 0 else -1,
+        deadline_ms=max(record.deadline_ms - elapsed_ms, 0),
+    )
+
+
+def split_records(records: Iterable[KeyRecord], limits: HomeLimits) -> list[list[KeyRecord]]:
+    """Return ``records`` in parts bounded in count and bytes, at least one part."""
+    parts: list[list[KeyRecord]] = [[]]
+    size = 0
+    for record in records:
+        length = record_size(record)
+        if parts[-1] and (
+            len(parts[-1]) >= limits.copy_records or size + length > limits.copy_bytes
+        ):
+            parts.append([])
+            size = 0
+        parts[-1].append(record)
+        size += length
+    return parts
+
+
+class HolderTable:
+    """Records of partitions held for other homes, with the newest epoch seen of each partition.
+
+    A record is dropped only after its window: once a window has passed since it ended, or since
+    its deadline if no home ever said that it ended.
+    """
+
+    def __init__(
+        self, entry: EntryId, clock: Clock, limits: HomeLimits, protections: Protections
+    ) -> None:
+        self._entry = entry
+        self._clock = clock
+        self._limits = limits
+        self._protections = protections
+        self._records: dict[Partition, dict[ScopedKey, _Kept]] = {}
+        self._epochs: dict[Partition, Epoch] = {}
+        self._expiry: list[tuple[float, Partition, ScopedKey]] = []
+        self._count = 0
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def epoch_of(self, partition: Partition) -> Epoch:
+        """Return the newest epoch seen of ``partition``, 0 if none."""
+        return self._epochs.get(partition, Epoch(0))
+
+    def raise_epoch(self, partition: Partition, epoch: Epoch) -> None:
+        """Refuse epochs of ``partition`` older than ``epoch`` from now on."""
+        self._epochs[partition] = max(self.epoch_of(partition), epoch)
+
+    def _refuses(self, partition: Partition, epoch: Epoch) -> bool:
+        return self._protections.holder_epoch and epoch < self.epoch_of(partition)
+
+    def on_hold(self, message: Hold | Copy) -> list[PeerMessage]:
+        """Record keys; return an acknowledgement, or a refusal of an old epoch or at a bound."""
+        partition, epoch = message.partition, message.epoch
+        keys = [record.key for record in message.records]
+        if self._refuses(partition, epoch):
+            newest = self.epoch_of(partition)
+            return [HoldRefused(partition, newest, self._entry, keys, False)]
+        self.raise_epoch(partition, epoch)
+        full = [record.key for record in message.records if not self.put(partition, record)]
+        answers: list[PeerMessage] = []
+        if full:
+            answers.append(HoldRefused(partition, epoch, self._entry, full, True))
+        if full or isinstance(message, Hold):
+            held = [key for key in keys if key not in full] if full else keys
+            answers.append(Held(partition, epoch, self._entry, held, message.sequence))
+        else:
+            answers.append(Copied(partition, epoch, self._entry, message.sequence))
+        return answers
+
+    def put(self, partition: Partition, record: KeyRecord) -> bool:
+        """Keep ``record``, merged with what is kept of its key; return False at a bound."""
+        now_ms = self._clock.now_ms()
+        records = self._records.setdefault(partition, {})
+        kept = records.get(record.key)
+        if kept is not None:
+            record = merge_records(aged(kept.record, now_ms - kept.received_at_ms), record)
+        size = record_size(record)
+        growth = size - (kept.size if kept is not None else 0)
+        if not self._has_room(record, kept is None, growth):
+            return False
+        drop_at_ms = now_ms + self._time_left_ms(record)
+        self._count += kept is None
+        self._bytes += growth
+        records[record.key] = _Kept(record, now_ms, drop_at_ms, size)
+        heapq.heappush(self._expiry, (drop_at_ms, partition, record.key))
+        return True
+
+    def _has_room(self, record: KeyRecord, new: bool, growth: int) -> bool:
+        reserve = self._limits.max_refusals if isinstance(record.outcome, NotRun) else 0
+        within = self._bytes + growth <= self._limits.max_bytes + 256 * reserve
+        return not new or (within and self._count < self._limits.max_records + reserve)
+
+    def _time_left_ms(self, record: KeyRecord) -> float:
+        if record.age_ms < 0:
+            return record.deadline_ms + self._limits.window_ms
+        return self._limits.keep_ms(record.outcome) - record.age_ms
+
+    def on_release(self, message: Release) -> None:
+        """Count the window of keys that ended from now on."""
+        now_ms = self._clock.now_ms()
+        if self._refuses(message.partition, message.epoch):
+            return
+        records = self._records.get(message.partition, {})
+        for key in message.keys:
+            kept = records.get(key)
+            if kept is None or kept.record.age_ms >= 0:
+                continue
+            kept.record = replace(aged(kept.record, now_ms - kept.received_at_ms), age_ms=0)
+            kept.received_at_ms = now_ms
+            kept.drop_at_ms = now_ms + self._limits.window_ms
+            heapq.heappush(self._expiry, (kept.drop_at_ms, message.partition, key))
+
+    def on_fetch(self, message: Fetch) -> list[PeerMessage]:
+        """Raise the epoch and return all records of the partition in parts."""
+        partition, epoch = message.partition, message.epoch
+        if self._refuses(partition, epoch):
+            return [HoldRefused(partition, self.epoch_of(partition), self._entry, [], False)]
+        self.raise_epoch(partition, epoch)
+        parts = split_records(self.records_of(partition), self._limits)
+        last = len(parts) - 1
+        return [
+            Fetched(
+                partition, epoch, self._entry, part, number < last, True, message.sequence, number
+            )
+            for number, part in enumerate(parts)
+        ]
+
+    def records_of(self, partition: Partition) -> list[KeyRecord]:
+        """Return the records of ``partition`` as of now."""
+        now_ms = self._clock.now_ms()
+        kept = self._records.get(partition, {}).values()
+        return [aged(item.record, now_ms - item.received_at_ms) for item in kept]
+
+    def take(self, partition: Partition) -> list[KeyRecord]:
+        """Return the records of ``partition`` and keep them no longer; the caller is its home."""
+        records = self.records_of(partition)
+        kept = self._records.pop(partition, {})
+        self._count -= len(kept)
+        self._bytes -= sum(item.size for item in kept.values())
+        return records
+
+    def tick(self) -> None:
+        """Drop records whose window is over."""
+        now_ms = self._clock.now_ms()
+        while self._expiry and self._expiry[0][0] <= now_ms:
+            at_ms, partition, key = heapq.heappop(self._expiry)
+            kept = self._records.get(partition, {}).get(key)
+            if kept is not None and kept.drop_at_ms == at_ms:
+                del self._records[partition][key]
+                self._count -= 1
+                self._bytes -= kept.size
--- a/snipewell/message.py
+++ b/snipewell/message.py
@@ -43,7 +43,7 @@
     """The call to the upstream broke after a byte of it may have left."""
     CANCELLED = "cancelled"
     NOT_STARTED = "not_started"
-    """The agent has no record of a start and will refuse one at an older epoch."""
+    """The agent has no record of a start and will refuse every later ``Start`` of the task."""
 
 
 class RefusalReason(Enum):
@@ -78,13 +78,17 @@
 
 
 class TaskRecord(msgspec.Struct, frozen=True):
-    """An agent's record of one task of a key; ``body`` is empty unless ``state`` is ``OK``."""
+    """An agent's record of one task of a key; ``body`` is empty unless ``state`` is ``OK``.
+
+    ``body_kept`` tells an empty body from one that was dropped after ``Forget``.
+    """
 
     key: ScopedKey
     task: TaskIndex
     state: TaskState
     body: bytes = b""
     reason: str = ""
+    body_kept: bool = False
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -98,7 +102,9 @@
     """What a holder keeps of a submission: enough to prove that a key is not new.
 
     ``age_ms`` is the time since the submission ended, or -1 while it runs. ``outcome`` travels
-    with handovers and copies, so that a new home can answer a resubmission.
+    with handovers and copies, so that a new home can answer a resubmission. ``deadline_ms`` is the
+    time left of the submission, which bounds how long a holder keeps a record that was never
+    released. The record with the highest (``epoch``, ``version``) is the newest.
     """
 
     key: ScopedKey
@@ -110,6 +116,9 @@
     outcome: (
         Complete | Failed | NotRun | Unknown | Impossible | Conflict | Cancelled | Invalid | None
     ) = None
+    deadline_ms: float = 0
+    epoch: int = 0
+    version: int = 0
 
 
 class Heartbeat(Message, frozen=True, tag="heartbeat"):
@@ -146,7 +155,13 @@
 
 
 class Start(Message, frozen=True, tag="start"):
-    """From a home: start one task."""
+    """From a home: start one task.
+
+    ``attempt`` counts the grants of the task and is echoed by ``Refused``, so that a late refusal
+    of an earlier grant is not taken for one of the present grant. An agent of another
+    ``incarnation`` than the one named drops the message, because its predecessor may have acted
+    on it; an empty one names any.
+    """
 
     key: ScopedKey
     task: TaskIndex
@@ -158,16 +173,22 @@
     deadline_ms: float
     idempotent: bool
     entry: EntryId
+    attempt: int = 0
+    incarnation: Incarnation = Incarnation("")
 
 
 class Refused(Message, frozen=True, tag="refused"):
-    """From an agent: the task did not start and will not start from this ``Start``."""
+    """From an agent: the task did not start and will not start from the ``Start`` of ``attempt``.
+
+    The agent refuses a repetition of that ``Start`` too.
+    """
 
     key: ScopedKey
     task: TaskIndex
     reason: RefusalReason
     epoch: Epoch
     load: Load
+    attempt: int = 0
 
 
 class Result(Message, frozen=True, tag="result"):
@@ -319,12 +340,16 @@
 
 
 class Hold(Message, frozen=True, tag="hold"):
-    """From a home to a holder: record these keys before their first task starts."""
+    """From a home to a holder: record these keys before their first task starts.
+
+    ``sequence`` is echoed, so that a late answer is not taken for one to a newer record.
+    """
 
     partition: Partition
     epoch: Epoch
     entry: EntryId
     records: list[KeyRecord]
+    sequence: int = 0
 
 
 class Held(Message, frozen=True, tag="held"):
@@ -334,6 +359,7 @@
     epoch: Epoch
     entry: EntryId
     keys: list[ScopedKey]
+    sequence: int = 0
 
 
 class HoldRefused(Message, frozen=True, tag="hold_refused"):
@@ -360,13 +386,15 @@
     partition: Partition
     epoch: Epoch
     entry: EntryId
+    sequence: int = 0
 
 
 class Fetched(Message, frozen=True, tag="fetched"):
     """From a holder: a part of its records of the partition; ``more`` is False in the last part.
 
     ``complete`` is False if the holder has not held the partition in full since ``epoch`` of the
-    table that named it, for instance because it restarted.
+    table that named it, for instance because it restarted. ``part`` counts from 0 within the
+    answer to one ``Fetch``, so that a lost part is noticed.
     """
 
     partition: Partition
@@ -375,6 +403,8 @@
     records: list[KeyRecord]
     more: bool
     complete: bool
+    sequence: int = 0
+    part: int = 0
 
 
 class Copy(Message, frozen=True, tag="copy"):
@@ -387,14 +417,22 @@
     last: bool
     covered_ms: float
     """How long the records have been complete, for the rule that proves a plain key new."""
+    sequence: int = 0
 
 
 class Copied(Message, frozen=True, tag="copied"):
-    """From a new holder: all parts have arrived."""
+    """From a new holder: the records of the ``Copy`` of this ``sequence`` are kept."""
 
     partition: Partition
     epoch: Epoch
     entry: EntryId
+    sequence: int = 0
+
+
+class Leaving(Message, frozen=True, tag="leaving"):
+    """From an entry that drains: give it no partition and replace it as a holder."""
+
+    entry: EntryId
 
 
 class SnapshotRequest(Message, frozen=True, tag="snapshot_request"):
@@ -431,6 +469,7 @@
     | Fetched
     | Copy
     | Copied
+    | Leaving
     | SnapshotRequest
     | Snapshot
 )
--- /dev/null
+++ b/snipewell/recovery.py
@@ -0,0 +1,162 @@
+"""A new home's collection of records: first from the holders, then from the candidate agents."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from .clock import Clock
+from .effect import Effect, SendAgent, SendEntry
+from .holder import merge_records
+from .ids import AgentId, EntryId, Epoch, Incarnation, Partition, ScopedKey
+from .limits import HomeLimits, read_quorum
+from .message import Candidate, Collect, Collected, Fetch, Fetched, KeyRecord, TaskRecord
+from .partition import PartitionEntry
+
+
+class Fetching:
+    """The records of a partition's old holders, until a read quorum of them has been read.
+
+    ``gap`` is whether the table says that records were lost with this very epoch; then nothing
+    needs to be read, and what this entry has may be outdated.
+    """
+
+    def __init__(
+        self,
+        entry: EntryId,
+        partition: Partition,
+        assigned: PartitionEntry,
+        own: Iterable[KeyRecord],
+        clock: Clock,
+        limits: HomeLimits,
+    ) -> None:
+        self._entry = entry
+        self._partition = partition
+        self._clock = clock
+        self._limits = limits
+        self._retry_at_ms = 0.0
+        self._parts: dict[tuple[EntryId, int], dict[int, Fetched]] = {}
+        self._sequence = 0
+        self.records: dict[ScopedKey, KeyRecord] = {}
+        self.known: dict[EntryId, list[tuple[ScopedKey, int, int, int]]] = {}
+        for record in own:
+            self.records[record.key] = record
+        self.read = {entry}
+        self.assign(assigned)
+
+    def assign(self, assigned: PartitionEntry) -> None:
+        """Follow a change of the table's entry during the recovery."""
+        self._assigned = assigned
+        self.gap = assigned.coverage_epoch == assigned.epoch
+        self._retry_at_ms = 0.0
+
+    def is_done(self) -> bool:
+        """Return whether every acknowledged record has been seen, or there is a known gap."""
+        read = self.read.intersection(self._assigned.holders)
+        first = self._assigned.epoch == 1
+        return self.gap or first or len(read) >= read_quorum(len(self._assigned.holders))
+
+    def is_stuck(self, live: Collection[EntryId]) -> bool:
+        """Return whether too few holders are read or live, so that a gap must be declared."""
+        possible = [h for h in self._assigned.holders if h in live or h in self.read]
+        return len(possible) < read_quorum(len(self._assigned.holders))
+
+    def forget(self) -> None:
+        """Drop what was read, once the home has it."""
+        self.records, self.known, self._parts = {}, {}, {}
+
+    def tick(self) -> list[Effect]:
+        """Ask the holders that have not been read."""
+        now_ms = self._clock.now_ms()
+        if self.is_done() or now_ms < self._retry_at_ms:
+            return []
+        self._retry_at_ms = now_ms + self._limits.fetch_retry_ms
+        self._sequence += 1
+        fetch = Fetch(self._partition, self._assigned.epoch, self._entry, self._sequence)
+        return [SendEntry(h, fetch) for h in self._assigned.holders if h not in self.read]
+
+    def on_fetched(self, message: Fetched) -> None:
+        """Take one part of a holder's answer; the holder is read once all parts are here."""
+        if message.entry in self.read or not message.complete:
+            return
+        parts = self._parts.setdefault((message.entry, message.sequence), {})
+        parts[message.part] = message
+        last = max(parts)
+        if parts[last].more or len(parts) <= last:
+            return
+        self.read.add(message.entry)
+        seen = self.known.setdefault(message.entry, [])
+        for part in parts.values():
+            for record in part.records:
+                seen.append((record.key, record.epoch, record.version, len(record.candidates)))
+                old = self.records.get(record.key)
+                self.records[record.key] = record if old is None else merge_records(old, record)
+        self._parts = {key: kept for key, kept in self._parts.items() if key[0] != message.entry}
+
+
+class Collecting:
+    """The start records of the candidate agents of recovered keys.
+
+    Keys with the same candidates form a group and are resolved together, once all candidates have
+    answered or the time is up.
+    """
+
+    def __init__(
+        self,
+        partition: Partition,
+        epoch: Epoch,
+        records: Iterable[KeyRecord],
+        clock: Clock,
+        limits: HomeLimits,
+    ) -> None:
+        self._partition = partition
+        self._clock = clock
+        self._limits = limits
+        self._epoch = epoch
+        self._groups: dict[tuple[Candidate, ...], list[ScopedKey]] = {}
+        for record in records:
+            self._groups.setdefault(tuple(record.candidates), []).append(record.key)
+        self._waiting = {c.agent for candidates in self._groups for c in candidates}
+        self._lives: dict[AgentId, Incarnation] = {}
+        self._found: dict[ScopedKey, list[tuple[Candidate, TaskRecord]]] = {}
+        self._retry_at_ms = 0.0
+        self._until_ms = clock.now_ms() + limits.collect_timeout_ms
+
+    def is_done(self) -> bool:
+        """Return whether every key has been handed out by ``resolved``."""
+        return not self._groups
+
+    def tick(self) -> list[Effect]:
+        """Ask the agents that have not answered, over whatever connection they have now."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._retry_at_ms:
+            return []
+        self._retry_at_ms = now_ms + self._limits.fetch_retry_ms
+        collect = Collect(self._partition, self._epoch, self._limits.partitions)
+        return [SendAgent(agent, collect) for agent in sorted(self._waiting)]
+
+    def on_collected(self, agent: AgentId, message: Collected) -> None:
+        """Take an agent's records; its fence is at this epoch now."""
+        if message.epoch < self._epoch or agent not in self._waiting:
+            return
+        self._waiting.discard(agent)
+        self._lives[agent] = message.incarnation
+        candidate = Candidate(agent, message.incarnation)
+        for record in message.records:
+            self._found.setdefault(record.key, []).append((candidate, record))
+
+    def resolved(
+        self, at_once: bool = False
+    ) -> list[tuple[ScopedKey, list[tuple[Candidate, TaskRecord]], bool]]:
+        """Return the keys decided now: what was found of each, and whether nothing can be hidden.
+
+        ``at_once`` waits for no answer, which only a test of the checker asks for.
+        """
+        late = at_once or self._clock.now_ms() >= self._until_ms
+        decided = []
+        for candidates in list(self._groups):
+            if not late and any(candidate.agent in self._waiting for candidate in candidates):
+                continue
+            clean = all(self._lives.get(c.agent) == c.incarnation for c in candidates)
+            for key in self._groups.pop(candidates):
+                decided.append((key, self._found.pop(key, []), clean))
+        return decided
--- /dev/null
+++ b/snipewell/register.py
@@ -0,0 +1,413 @@
+"""The runs of one partition at its home, and their records at the holders."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .effect import Effect, Reply, SendAgent, SendEntry, Submission, Withdraw
+from .holder import record_size
+from .ids import EntryId, Partition, RequestId, ScopedKey, Ticket
+from .limits import majority
+from .message import (
+    Candidate,
+    Copied,
+    Copy,
+    Forget,
+    Held,
+    Hold,
+    HoldRefused,
+    KeyRecord,
+    Release,
+)
+from .outcome import Complete, Conflict, Impossible, NotRun, Outcome, Step, Unknown
+from .partition import PartitionEntry
+from .replication import Replication
+from .runtable import HomeContext
+from .submission import Run, RunState
+
+
+class Register:
+    """The runs of one partition at its home, and their records at the holders."""
+
+    def __init__(
+        self,
+        context: HomeContext,
+        partition: Partition,
+        assigned: PartitionEntry,
+        covered_since_ms: float,
+    ) -> None:
+        self._context = context
+        self.partition = partition
+        self.assigned = assigned
+        self.handover: EntryId | None = None
+        self.suspended = False
+        self.replication = Replication(context.entry, assigned.holders)
+        self.keys: dict[ScopedKey, None] = {}
+        self.busy: set[ScopedKey] = set()
+        self._covered_since_ms = covered_since_ms
+        self._released: list[ScopedKey] = []
+        self._full: dict[ScopedKey, set[EntryId]] = {}
+
+    def is_known(self, key: ScopedKey) -> bool:
+        """Return whether a submission of ``key`` joins a run or gets its outcome."""
+        run = self._context.runs.get(key)
+        if run is None or run.state is RunState.PARKED:
+            return False
+        return not (run.state is RunState.ENDED and self._may_restart(run))
+
+    def submit(self, submission: Submission, candidates: Sequence[Candidate]) -> list[Effect]:
+        """Join a submission to its run, start one if its key is proved new, or say why not."""
+        run = self._context.runs.get(submission.key)
+        if run is None:
+            return self._admit(submission, candidates, 1)
+        if run.state is RunState.ENDED and self._may_restart(run):
+            return self._admit(submission, candidates, run.version + 1)
+        return self._join(run, submission, candidates)
+
+    def refuse(self, submission: Submission, refusal: NotRun | Impossible) -> list[Effect]:
+        """Answer a submission that admission refused; what is known of its key goes first."""
+        run = self._context.runs.get(submission.key)
+        if run is not None and run.state is RunState.PARKED:
+            return self.unsure(submission, Step.ADMISSION, refusal.reason)
+        if run is not None and self.is_known(submission.key):
+            return self._join(run, submission, ())
+        if run is None and not self._is_new(submission.key):
+            return self.unsure(submission, Step.RECOVERY, "the key cannot be proved new")
+        if not self._context.protections.refusal_memory:
+            return [Reply(submission.request, submission.key, refusal)]
+        return self._refuse_new(submission, refusal, run.version + 1 if run is not None else 1)
+
+    def _refuse_new(
+        self, submission: Submission, refusal: NotRun | Impossible, version: int
+    ) -> list[Effect]:
+        if not self._context.runs.has_room_for_refusal():
+            return self.unsure(submission, Step.ADMISSION, "too many refusals are remembered")
+        run = Run.from_submission(submission, self.partition, ())
+        run.version = version
+        run.refuse(refusal, self._context.clock.now_ms())
+        return self._keep(run)
+
+    def unsure(self, submission: Submission, step: Step, reason: str) -> list[Effect]:
+        """Answer that this attempt started nothing and an earlier one may have."""
+        retry_after_ms = self._context.limits.retry_after_ms
+        outcome = Unknown(step, self._context.entry, reason, False, retry_after_ms)
+        return [Reply(submission.request, submission.key, outcome)]
+
+    def _is_new(self, key: ScopedKey) -> bool:
+        """Return whether a key without a record has provably never run."""
+        limits, clock = self._context.limits, self._context.clock
+        if not self._context.protections.coverage:
+            return True
+        ticket = Ticket.parse(key.partition("/")[2])
+        if ticket is not None:
+            age_ms = clock.wall_ms() - ticket.issued_ms
+            issued = self.assigned.coverage_epoch <= ticket.epoch <= self.assigned.epoch
+            margin_ms = limits.ticket_margin_ms
+            return issued and -margin_ms <= age_ms < limits.window_ms - margin_ms
+        if self.assigned.coverage_epoch == 0:
+            return True
+        covered_ms = clock.now_ms() - self._covered_since_ms
+        return covered_ms > limits.window_ms + limits.max_deadline_ms
+
+    def _may_restart(self, run: Run) -> bool:
+        now_ms = self._context.clock.now_ms()
+        if isinstance(run.outcome, NotRun):
+            return now_ms >= run.ended_at_ms + run.outcome.retry_after_ms
+        return not run.granted and isinstance(run.outcome, Unknown | Impossible)
+
+    def _admit(
+        self, submission: Submission, candidates: Sequence[Candidate], version: int
+    ) -> list[Effect]:
+        if version == 1 and not self._is_new(submission.key):
+            return self.unsure(submission, Step.RECOVERY, "the key cannot be proved new")
+        limits = self._context.limits
+        if not self._context.runs.has_room(sum(map(len, submission.tasks))):
+            refusal = NotRun("the home is at its bound of records", limits.retry_after_ms)
+            if not self._context.protections.refusal_memory:
+                return [Reply(submission.request, submission.key, refusal)]
+            return self._refuse_new(submission, refusal, version)
+        run = Run.from_submission(submission, self.partition, candidates)
+        latest_ms = self._context.clock.now_ms() + limits.max_deadline_ms
+        run.deadline_at_ms = min(run.deadline_at_ms, latest_ms)
+        run.version = version
+        return self._keep(run)
+
+    def _keep(self, run: Run) -> list[Effect]:
+        run.epoch = self.assigned.epoch
+        self._context.runs.add(run)
+        self.keys[run.key] = None
+        self.busy.add(run.key)
+        self.replication.change(run.key, run.version)
+        self._arm(run)
+        return self._send_hold(run) + self._advance(run)
+
+    def _send_hold(self, run: Run) -> list[Effect]:
+        if not self._context.protections.holder_acknowledgement:
+            return []
+        record = run.to_record(self._context.clock.now_ms(), full=False)
+        effects: list[Effect] = []
+        for holder in self.replication.targets():
+            number = self._context.next_sequence()
+            self.replication.sent(number, holder, [run.key])
+            hold = Hold(self.partition, self.assigned.epoch, self._context.entry, [record], number)
+            effects.append(SendEntry(holder, hold))
+        return effects
+
+    def _advance(self, run: Run) -> list[Effect]:
+        """Go on with a run if its record is held."""
+        if run.state not in (RunState.HOLDING, RunState.REFUSING):
+            return []
+        required = self._context.protections.holder_acknowledgement
+        if required and not self.replication.is_held(run.key):
+            return []
+        if run.state is RunState.HOLDING:
+            return run.activate()
+        assert run.outcome is not None
+        effects = run.end(run.outcome, self._context.clock.now_ms())
+        return effects + self.settle(run)
+
+    def _join(
+        self, run: Run, submission: Submission, candidates: Sequence[Candidate]
+    ) -> list[Effect]:
+        if run.digest != submission.digest:
+            reason = "the key is in use by a submission with another payload"
+            return [Reply(submission.request, submission.key, Conflict(reason))]
+        if run.state is RunState.ENDED:
+            return [Reply(submission.request, submission.key, self._kept_outcome(run))]
+        run.waiting[submission.request] = submission.deadline_at_ms
+        if run.submission is None and run.state in (RunState.COLLECTING, RunState.PARKED):
+            run.submission = submission
+            self._enlarge(run, candidates)
+            self._context.runs.measure(run)
+            return self.resume(run)
+        return []
+
+    def _kept_outcome(self, run: Run) -> Outcome:
+        outcome = run.outcome
+        assert outcome is not None
+        if isinstance(outcome, NotRun):
+            passed_ms = self._context.clock.now_ms() - run.ended_at_ms
+            left_ms = max(1, int(outcome.retry_after_ms - passed_ms))
+            return NotRun(outcome.reason, left_ms, outcome.quota)
+        if isinstance(outcome, Unknown):
+            return Unknown(outcome.step, outcome.peer, outcome.reason, False)
+        return outcome
+
+    def _enlarge(self, run: Run, candidates: Sequence[Candidate]) -> None:
+        """Add the agents that can run the rest now; the holders must acknowledge them first."""
+        latest_ms = self._context.clock.now_ms() + self._context.limits.max_deadline_ms
+        if run.submission is not None:
+            deadline_ms = max(run.deadline_at_ms, run.submission.deadline_at_ms)
+            run.deadline_at_ms = min(deadline_ms, latest_ms)
+        known = set(run.candidates)
+        run.pending_candidates = [c for c in candidates if c not in known]
+
+    def resume(self, run: Run) -> list[Effect]:
+        """Let the rest of a recovered run start, once the holders know of its new candidates."""
+        if run.state is not RunState.PARKED or run.submission is None:
+            return []
+        run.candidates = [*run.candidates, *run.pending_candidates]
+        run.pending_candidates = []
+        run.state = RunState.HOLDING
+        run.epoch = self.assigned.epoch
+        run.version += 1
+        self.busy.add(run.key)
+        self.replication.change(run.key, run.version)
+        return self._send_hold(run) + self._advance(run)
+
+    def cancel(self, request: RequestId, run: Run) -> list[Effect]:
+        """End ``run`` for all its callers; answer ``request`` as well."""
+        if run.state is RunState.ENDED:
+            return [Reply(request, run.key, self._kept_outcome(run))]
+        run.waiting.setdefault(request, run.deadline_at_ms)
+        return run.cancel(self._context.clock.now_ms()) + self.settle(run)
+
+    def settle(self, run: Run) -> list[Effect]:
+        """Note the end of a run: its record stays for the window, and the holders learn of it."""
+        if run.state is not RunState.ENDED:
+            return []
+        self.busy.discard(run.key)
+        self._context.runs.measure(run)
+        if isinstance(run.outcome, Complete):
+            self._released.append(run.key)
+            if self.handover is not None:
+                self.replication.mark(run.key, self.handover)
+        elif not isinstance(run.outcome, NotRun):
+            run.version += 1
+            run.epoch = self.assigned.epoch
+            self.replication.change(run.key, run.version)
+        self._arm(run)
+        return []
+
+    def _arm(self, run: Run) -> None:
+        now_ms, limits = self._context.clock.now_ms(), self._context.limits
+        if run.state is not RunState.ENDED:
+            at_ms = min(now_ms + limits.query_interval_ms, run.deadline_at_ms)
+            at_ms = max(at_ms, now_ms + 1)
+        elif run.producers:
+            at_ms = run.ended_at_ms + limits.forget_after_ms
+        else:
+            at_ms = run.ended_at_ms + limits.keep_ms(run.outcome)
+        self._context.runs.wake_at(at_ms, run)
+
+    def wake(self, run: Run) -> list[Effect]:
+        """Handle the timer of a run: silent tasks, its deadline, or the end of its window."""
+        now_ms, limits = self._context.clock.now_ms(), self._context.limits
+        effects: list[Effect] = []
+        if run.state is RunState.ENDED:
+            if now_ms >= run.ended_at_ms + limits.keep_ms(run.outcome):
+                self._drop(run.key)
+                return []
+            effects = [SendAgent(a, Forget([run.key])) for a in sorted(run.producers)]
+            run.producers = frozenset()
+        elif now_ms >= run.deadline_at_ms:
+            effects = self._expire(run, now_ms)
+        else:
+            regrant = not self._context.protections.one_grant
+            after_ms = limits.query_after_ms
+            effects = run.check(now_ms, self.assigned.epoch, after_ms, regrant)
+        self._arm(run)
+        return effects
+
+    def _drop(self, key: ScopedKey) -> None:
+        self._context.runs.remove(key)
+        self.keys.pop(key, None)
+        self._full.pop(key, None)
+        self.replication.forget(key)
+
+    def _expire(self, run: Run, now_ms: float) -> list[Effect]:
+        """End a run at its deadline; without a grant it is a refusal, which holders must know."""
+        limits = self._context.limits
+        if run.state is RunState.ACTIVE and not run.granted:
+            refusal = NotRun("no agent was free before the deadline", limits.retry_after_ms)
+            effects = run.refuse(refusal, now_ms)
+            run.version += 1
+            self.replication.change(run.key, run.version)
+            return effects + self._send_hold(run) + self._advance(run)
+        if run.state is RunState.REFUSING and now_ms < run.ended_at_ms + 1_000:
+            return []
+        step = {
+            RunState.HOLDING: Step.HOLD,
+            RunState.REFUSING: Step.HOLD,
+            RunState.COLLECTING: Step.RECOVERY,
+            RunState.PARKED: Step.RECOVERY,
+        }.get(run.state, Step.START)
+        silent = sorted(s.agent for s in run.slots if s.agent is not None and s.body is None)
+        peer = silent[0] if silent else self._context.entry
+        unknown = Unknown(step, peer, "the deadline passed", run.granted, limits.retry_after_ms)
+        return run.end(unknown, now_ms) + self.settle(run)
+
+    def on_acknowledged(self, message: Held | Copied) -> list[Effect]:
+        """Go on with the runs whose records a holder has now."""
+        keys = set(message.keys) if isinstance(message, Held) else None
+        effects: list[Effect] = []
+        for key in self.replication.acknowledge(message.sequence, message.entry, keys):
+            run = self._context.runs.get(key)
+            if run is not None:
+                effects += self._advance(run)
+        if isinstance(message, Copied):
+            effects += self.send_copies([message.entry])
+        return effects
+
+    def on_hold_refused(self, message: HoldRefused) -> list[Effect]:
+        """Wait for the table if a newer epoch exists; end what too many full holders refuse."""
+        if message.epoch > self.assigned.epoch:
+            self.suspended = True
+        if not message.full:
+            return []
+        effects: list[Effect] = []
+        count = len(self.assigned.holders)
+        self.replication.defer(message.entry, message.keys)
+        for key in message.keys:
+            run = self._context.runs.get(key)
+            if run is None or run.state not in (RunState.HOLDING, RunState.REFUSING):
+                continue
+            full = self._full.setdefault(key, set())
+            full.add(message.entry)
+            if count - len(full) < majority(count):
+                unknown = Unknown(Step.HOLD, message.entry, "the holders are full", run.granted)
+                effects += run.end(unknown, self._context.clock.now_ms()) + self.settle(run)
+        return effects
+
+    def send_copies(self, holders: Sequence[EntryId]) -> list[Effect]:
+        """Send each of ``holders`` a bounded part of the records that it has not acknowledged."""
+        limits, now_ms = self._context.limits, self._context.clock.now_ms()
+        covered_ms = now_ms - self._covered_since_ms
+        effects: list[Effect] = []
+        for holder in holders:
+            records: list[KeyRecord] = []
+            size = 0
+            for key in self.replication.unsent(holder, limits.copy_records):
+                run = self._context.runs.get(key)
+                assert run is not None
+                records.append(run.to_record(now_ms, full=holder == self.handover))
+                size += record_size(records[-1])
+                if size > limits.copy_bytes:
+                    break
+            if not records:
+                continue
+            number = self._context.next_sequence()
+            self.replication.sent(number, holder, [record.key for record in records])
+            copy = Copy(
+                self.partition,
+                self.assigned.epoch,
+                self._context.entry,
+                records,
+                len(records) < limits.copy_records,
+                covered_ms,
+                number,
+            )
+            effects.append(SendEntry(holder, copy))
+        return effects
+
+    def send_releases(self) -> list[Effect]:
+        """Tell the holders which keys completed since the last call."""
+        if not self._released:
+            return []
+        keys, self._released = self._released, []
+        release = Release(self.partition, self.assigned.epoch, keys)
+        return [SendEntry(holder, release) for holder in self.replication.targets()]
+
+    def adopt(self, record: KeyRecord) -> Run:
+        """Keep the run that a recovered ``record`` describes."""
+        run = Run.from_record(record, self.partition, self._context.clock.now_ms())
+        self._context.runs.add(run)
+        self.keys[run.key] = None
+        if run.state is not RunState.ENDED:
+            self.busy.add(run.key)
+        self.replication.change(run.key, run.version)
+        self._arm(run)
+        return run
+
+    def is_open(self, key: ScopedKey) -> bool:
+        """Return whether nothing of ``key`` starts before its record is acknowledged."""
+        run = self._context.runs.get(key)
+        return (
+            run is not None
+            and run.state in (RunState.HOLDING, RunState.REFUSING)
+            and not run.granted
+        )
+
+    def is_quiet(self) -> bool:
+        """Return whether no run is under way; recovered ones that wait for their caller are not."""
+        runs = (self._context.runs.get(key) for key in self.busy)
+        return not any(run is not None and run.is_busy() for run in runs)
+
+    def abandon(self, successor: EntryId) -> tuple[list[Effect], list[KeyRecord]]:
+        """Give up all runs: answer their callers truthfully and return the records as of now."""
+        now_ms = self._context.clock.now_ms()
+        effects: list[Effect] = []
+        records = []
+        for key in self.keys:
+            run = self._context.runs.get(key)
+            assert run is not None
+            records.append(run.to_record(now_ms, full=True))
+            if run.state is RunState.ACTIVE:
+                effects.append(Withdraw(key))
+            reason = "the partition has moved; the run may continue"
+            unknown = Unknown(Step.RECOVERY, successor, reason, run.granted)
+            effects += [Reply(request, key, unknown) for request in run.waiting]
+            self._context.runs.remove(key)
+        self.keys.clear()
+        self.busy.clear()
+        return effects, records
--- /dev/null
+++ b/snipewell/runtable.py
@@ -0,0 +1,100 @@
+"""The bounded table of all submissions of one entry, and what its partitions share."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from random import Random
+
+from .clock import Clock
+from .ids import AgentId, EntryId, ScopedKey
+from .limits import HomeLimits, Protections
+from .submission import RetryBudget, Run, RunState
+
+
+class SubmissionTable:
+    """All runs of one entry, bounded in count and bytes, with one queue of their timers."""
+
+    def __init__(self, max_records: int, max_refusals: int, max_bytes: int) -> None:
+        self._runs: dict[ScopedKey, Run] = {}
+        self._sizes: dict[ScopedKey, int] = {}
+        self._timers: list[tuple[float, ScopedKey, int]] = []
+        self._max_records = max_records
+        self._max_refusals = max_refusals
+        self._max_bytes = max_bytes
+        self._bytes = 0
+        self._timer = 0
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def get(self, key: ScopedKey) -> Run | None:
+        """Return the run of ``key``, or None without a record of it."""
+        return self._runs.get(key)
+
+    def add(self, run: Run) -> None:
+        """Keep ``run`` under its key."""
+        self._runs[run.key] = run
+        self.measure(run)
+
+    def measure(self, run: Run) -> None:
+        """Count anew the bytes that ``run`` keeps."""
+        size = run.bytes_held()
+        self._bytes += size - self._sizes.get(run.key, 0)
+        self._sizes[run.key] = size
+
+    def remove(self, key: ScopedKey) -> None:
+        """Drop the run of ``key``, whose window is over or which another entry has now."""
+        self._runs.pop(key, None)
+        self._bytes -= self._sizes.pop(key, 0)
+
+    def has_room(self, payload_bytes: int) -> bool:
+        """Return whether a submission of ``payload_bytes`` stays within the bounds."""
+        within = self._bytes + payload_bytes <= self._max_bytes
+        return len(self._runs) < self._max_records and within
+
+    def has_room_for_refusal(self) -> bool:
+        """Return whether a refusal can be remembered; there is room for some beyond the bound."""
+        return len(self._runs) < self._max_records + self._max_refusals
+
+    def wake_at(self, at_ms: float, run: Run) -> None:
+        """Yield ``run`` from ``due`` once at ``at_ms``; a time set before no longer holds."""
+        self._timer += 1
+        run.timer = self._timer
+        heapq.heappush(self._timers, (at_ms, run.key, run.timer))
+
+    def due(self, now_ms: float) -> Iterator[Run]:
+        """Yield the runs whose timers are due; the caller sets new ones."""
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, key, timer = heapq.heappop(self._timers)
+            run = self._runs.get(key)
+            if run is not None and run.timer == timer:
+                yield run
+
+    def of_agent(self, agent: AgentId) -> Iterable[Run]:
+        """Return the runs that wait for a task at ``agent``."""
+        return [
+            run
+            for run in self._runs.values()
+            if run.state is not RunState.ENDED and any(s.agent == agent for s in run.slots)
+        ]
+
+
+@dataclass(slots=True)
+class HomeContext:
+    """What all partitions of one entry share."""
+
+    entry: EntryId
+    clock: Clock
+    rng: Random
+    limits: HomeLimits
+    protections: Protections
+    budget: RetryBudget
+    runs: SubmissionTable
+    sequence: int = 0
+
+    def next_sequence(self) -> int:
+        """Return a number for a message that will be acknowledged."""
+        self.sequence += 1
+        return self.sequence
--- /dev/null
+++ b/snipewell/submission.py
@@ -0,0 +1,425 @@
+"""One submission at its home, as a state machine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .effect import Effect, Enqueue, Reply, SendAgent, Submission, TaskReady, Withdraw
+from .ids import (
+    AgentId,
+    Digest,
+    EntryId,
+    Epoch,
+    Incarnation,
+    Partition,
+    RequestId,
+    ScopedKey,
+    ServiceName,
+    TaskIndex,
+)
+from .message import (
+    Cancel,
+    Candidate,
+    KeyRecord,
+    Query,
+    QueryReply,
+    RefusalReason,
+    Refused,
+    Result,
+    Start,
+    TaskRecord,
+    TaskState,
+)
+from .outcome import Cancelled, Complete, Failed, Impossible, NotRun, Outcome, Step, Unknown
+
+RetryBudget = Callable[[ServiceName], bool]
+"""Takes one retry of a service from its budget and returns whether there was one."""
+
+
+class RunState(Enum):
+    """Where a submission is on its way."""
+
+    HOLDING = "holding"
+    ACTIVE = "active"
+    REFUSING = "refusing"
+    """A refusal waits until the holders have recorded it."""
+    COLLECTING = "collecting"
+    """Recovered from holders; the candidate agents have not all answered."""
+    PARKED = "parked"
+    """Recovered, and tasks may start, but their payloads are only known to the caller."""
+    ENDED = "ended"
+
+
+@dataclass(slots=True)
+class TaskSlot:
+    """One task: at most one agent has it at a time."""
+
+    agent: AgentId | None = None
+    incarnation: Incarnation = Incarnation("")
+    attempt: int = 0
+    heard_at_ms: float = 0.0
+    gone: bool = False
+    excluded: frozenset[AgentId] = frozenset()
+    body: bytes | None = None
+
+
+_ENDED_SLOT = TaskSlot()
+
+
+@dataclass(slots=True)
+class Run:
+    """A submission at its home.
+
+    ``granted`` is whether a task may ever have started. ``version`` and ``epoch`` order the states
+    of its record at the holders. Methods return the effects that follow from an event.
+    """
+
+    key: ScopedKey
+    digest: Digest
+    partition: Partition
+    candidates: list[Candidate]
+    retryable: bool
+    deadline_at_ms: float
+    slots: list[TaskSlot]
+    state: RunState = RunState.HOLDING
+    submission: Submission | None = None
+    waiting: dict[RequestId, float] = field(default_factory=dict)
+    outcome: Outcome | None = None
+    ended_at_ms: float = 0.0
+    granted: bool = False
+    finished: int = 0
+    epoch: int = 0
+    version: int = 1
+    released: bool = False
+    producers: frozenset[AgentId] = frozenset()
+    timer: int = 0
+    pending_candidates: list[Candidate] = field(default_factory=list)
+
+    @property
+    def count(self) -> int:
+        """The number of tasks."""
+        return len(self.slots)
+
+    @classmethod
+    def from_submission(
+        cls, submission: Submission, partition: Partition, candidates: Sequence[Candidate]
+    ) -> Run:
+        """Return the run of a submission whose key is proved new."""
+        return cls(
+            submission.key,
+            submission.digest,
+            partition,
+            list(candidates),
+            submission.idempotent and not submission.job,
+            submission.deadline_at_ms,
+            [TaskSlot() for _ in submission.tasks],
+            submission=submission,
+            waiting={submission.request: submission.deadline_at_ms},
+        )
+
+    @classmethod
+    def from_record(cls, record: KeyRecord, partition: Partition, now_ms: float) -> Run:
+        """Return the run that a holder's ``record`` describes, ended or still to be collected."""
+        run = cls(
+            record.key,
+            record.digest,
+            partition,
+            list(record.candidates),
+            record.idempotent,
+            now_ms + record.deadline_ms,
+            [TaskSlot() for _ in range(record.task_count)],
+            state=RunState.COLLECTING,
+            granted=True,
+            epoch=record.epoch,
+            version=record.version,
+            released=record.age_ms >= 0,
+        )
+        run.ended_at_ms = now_ms - max(record.age_ms, 0)
+        if record.outcome is not None:
+            run.state = RunState.ENDED
+            run.outcome = record.outcome
+            run.granted = not isinstance(record.outcome, NotRun)
+        return run
+
+    def to_record(self, now_ms: float, full: bool) -> KeyRecord:
+        """Return the holders' record; results are in it only if ``full``."""
+        ended = self.state in (RunState.ENDED, RunState.REFUSING)
+        outcome = self.outcome
+        if isinstance(outcome, Complete) and not full:
+            outcome = None
+        return KeyRecord(
+            self.key,
+            self.digest,
+            len(self.slots),
+            self.candidates,
+            self.retryable,
+            max(now_ms - self.ended_at_ms, 0) if ended or self.released else -1,
+            outcome,
+            max(self.deadline_at_ms - now_ms, 0),
+            self.epoch,
+            self.version,
+        )
+
+    def is_busy(self) -> bool:
+        """Return whether work of the run is under way here."""
+        if self.state is RunState.PARKED:
+            return any(slot.agent is not None and slot.body is None for slot in self.slots)
+        return self.state is not RunState.ENDED
+
+    def bytes_held(self) -> int:
+        """Return the bytes of payloads and results that the run keeps in memory."""
+        if isinstance(self.outcome, Complete):
+            return sum(map(len, self.outcome.results))
+        return sum(map(len, self.submission.tasks)) if self.submission is not None else 0
+
+    def activate(self) -> list[Effect]:
+        """Let the tasks start, once the holders have the record."""
+        self.state = RunState.ACTIVE
+        ready = [
+            self._ready(index)
+            for index, slot in enumerate(self.slots)
+            if slot.body is None and slot.agent is None
+        ]
+        return [Enqueue(ready)] if ready else []
+
+    def _ready(self, index: int) -> TaskReady:
+        submission = self.submission
+        assert submission is not None
+        return TaskReady(
+            self.key,
+            TaskIndex(index),
+            submission.service,
+            submission.team,
+            submission.resources,
+            self.deadline_at_ms,
+            len(self.slots),
+            frozenset(candidate.agent for candidate in self.candidates),
+            self.slots[index].excluded,
+        )
+
+    def grant(
+        self, task: TaskIndex, candidate: Candidate, epoch: Epoch, entry: EntryId, now_ms: float
+    ) -> Start | None:
+        """Return the start of ``task`` at ``candidate``, or None if it may not be granted now."""
+        submission = self.submission
+        if self.state is not RunState.ACTIVE or submission is None or now_ms >= self.deadline_at_ms:
+            return None
+        slot = self.slots[task]
+        if slot.body is not None or slot.agent is not None or candidate.agent in slot.excluded:
+            return None
+        if candidate not in self.candidates:
+            return None
+        slot.agent, slot.incarnation = candidate.agent, candidate.incarnation
+        slot.attempt += 1
+        slot.heard_at_ms, slot.gone = now_ms, False
+        self.granted = True
+        return Start(
+            self.key,
+            task,
+            self.partition,
+            epoch,
+            submission.service,
+            submission.team,
+            submission.tasks[task],
+            self.deadline_at_ms - now_ms,
+            submission.idempotent,
+            entry,
+            slot.attempt,
+            candidate.incarnation,
+        )
+
+    def on_refused(self, agent: AgentId, message: Refused) -> list[Effect]:
+        """Return the task to the backlog if its present grant was refused."""
+        slot = self._slot(message.task)
+        if slot is None or slot.agent != agent or slot.attempt != message.attempt:
+            return []
+        return self._requeue(message.task, message.reason is RefusalReason.CANCELLED)
+
+    def _slot(self, task: TaskIndex) -> TaskSlot | None:
+        if self.state is RunState.ENDED or not 0 <= task < len(self.slots):
+            return None
+        slot = self.slots[task]
+        return None if slot.body is not None else slot
+
+    def _requeue(self, task: TaskIndex, exclude: bool) -> list[Effect]:
+        slot = self.slots[task]
+        if exclude and slot.agent is not None:
+            slot.excluded |= {slot.agent}
+        slot.agent, slot.gone = None, False
+        return [Enqueue([self._ready(task)])] if self.state is RunState.ACTIVE else []
+
+    def on_result(
+        self, agent: AgentId, message: Result, now_ms: float, budget: RetryBudget
+    ) -> list[Effect]:
+        """Take the end of a task; a failure ends the submission unless it may be retried."""
+        record = TaskRecord(
+            message.key, message.task, message.state, message.body, message.reason, True
+        )
+        return self._on_end(agent, record, now_ms, budget)
+
+    def _on_end(
+        self, agent: AgentId, record: TaskRecord, now_ms: float, budget: RetryBudget
+    ) -> list[Effect]:
+        slot = self._slot(record.task)
+        if slot is None or self.state in (RunState.HOLDING, RunState.REFUSING):
+            return []
+        if record.state is TaskState.OK and (record.body_kept or record.body):
+            slot.body, slot.agent = record.body, agent
+            self.finished += 1
+            if self.finished < len(self.slots):
+                return []
+            return self.end(Complete([slot.body or b"" for slot in self.slots]), now_ms)
+        if self.retryable and slot.agent != agent:
+            return []
+        if self._may_retry(slot, budget):
+            return self._requeue(record.task, exclude=True)
+        reason = record.reason or record.state.value
+        if record.state is TaskState.FAILED:
+            return self.end(Failed(Step.UPSTREAM, agent, reason), now_ms)
+        return self.end(Unknown(Step.UPSTREAM, agent, reason), now_ms)
+
+    def _may_retry(self, slot: TaskSlot, budget: RetryBudget) -> bool:
+        if not self.retryable or self.submission is None or self.state is not RunState.ACTIVE:
+            return False
+        others = {c.agent for c in self.candidates} - slot.excluded - {slot.agent}
+        return bool(others) and budget(self.submission.service)
+
+    def on_query_reply(
+        self, agent: AgentId, message: QueryReply, now_ms: float, budget: RetryBudget
+    ) -> list[Effect]:
+        """Take what an agent says of tasks that were silent."""
+        effects: list[Effect] = []
+        for record in message.records:
+            slot = self._slot(record.task)
+            if slot is None or record.key != self.key:
+                continue
+            current = slot.agent == agent
+            if record.state in (TaskState.QUEUED, TaskState.RUNNING):
+                if current:
+                    slot.heard_at_ms, slot.gone = now_ms, False
+            elif record.state is not TaskState.NOT_STARTED:
+                effects += self._on_end(agent, record, now_ms, budget)
+            elif current and message.incarnation == slot.incarnation:
+                effects += self._requeue(record.task, exclude=True)
+            elif current:
+                lost = TaskRecord(
+                    self.key, record.task, TaskState.UNKNOWN, reason="agent restarted"
+                )
+                effects += self._on_end(agent, lost, now_ms, budget)
+        return effects
+
+    def on_agent_gone(
+        self, agent: AgentId, incarnation: Incarnation, now_ms: float, budget: RetryBudget
+    ) -> list[Effect]:
+        """Query the agent's tasks from now on, or retry one that may be retried."""
+        effects: list[Effect] = []
+        for index, slot in enumerate(self.slots):
+            if (slot.agent, slot.incarnation) != (agent, incarnation) or slot.body is not None:
+                continue
+            slot.gone = True
+            if self._may_retry(slot, budget):
+                effects += self._requeue(TaskIndex(index), exclude=True)
+        return effects
+
+    def resolve(
+        self, found: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
+    ) -> list[Effect]:
+        """Take what the candidate agents recorded, after a new home has fenced the old one.
+
+        ``clean`` is whether every candidate answered in the life that the record names and no
+        record was lost: only then may a task without a start record still start.
+        """
+        self.state = RunState.PARKED
+        self.granted = bool(found) or not clean
+        failed: list[tuple[Candidate, TaskRecord]] = []
+        for candidate, record in found:
+            slot = self._slot(record.task)
+            if slot is None:
+                continue
+            if record.state is TaskState.OK and (record.body_kept or record.body):
+                slot.body, slot.agent = record.body, candidate.agent
+                self.finished += 1
+            elif record.state in (TaskState.RUNNING, TaskState.QUEUED):
+                slot.agent, slot.incarnation = candidate.agent, candidate.incarnation
+                slot.heard_at_ms, slot.gone = now_ms, True
+            elif record.state is not TaskState.NOT_STARTED:
+                slot.excluded |= {candidate.agent}
+                failed.append((candidate, record))
+        return self._conclude(failed, clean, now_ms)
+
+    def _conclude(
+        self, failed: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
+    ) -> list[Effect]:
+        if self.finished == self.count:
+            return self.end(Complete([slot.body or b"" for slot in self.slots]), now_ms)
+        for candidate, record in failed:
+            if self.slots[record.task].agent is not None or self.retryable:
+                continue
+            reason = record.reason or record.state.value
+            if record.state is TaskState.FAILED:
+                return self.end(Failed(Step.UPSTREAM, candidate.agent, reason), now_ms)
+            return self.end(Unknown(Step.RECOVERY, candidate.agent, reason), now_ms)
+        open_slots = any(slot.agent is None and slot.body is None for slot in self.slots)
+        if open_slots and (self.released or not (clean or self.retryable)):
+            reason = "the home failed, and not every agent could say what it had started"
+            return self.end(Unknown(Step.RECOVERY, str(self.partition), reason), now_ms)
+        return []
+
+    def check(
+        self, now_ms: float, epoch: Epoch, query_after_ms: float, regrant: bool
+    ) -> list[Effect]:
+        """Ask agents what became of tasks that have been silent for ``query_after_ms``.
+
+        With ``regrant`` the task is granted elsewhere without an answer, which starts it twice;
+        only a test of the checker does so.
+        """
+        if self.state not in (RunState.ACTIVE, RunState.PARKED):
+            return []
+        silent: dict[AgentId, list[TaskIndex]] = {}
+        effects: list[Effect] = []
+        for index, slot in enumerate(self.slots):
+            if slot.agent is None or slot.body is not None:
+                continue
+            if not slot.gone and now_ms - slot.heard_at_ms < query_after_ms:
+                continue
+            if regrant:
+                effects += self._requeue(TaskIndex(index), exclude=False)
+            else:
+                silent.setdefault(slot.agent, []).append(TaskIndex(index))
+        for agent, tasks in silent.items():
+            effects.append(SendAgent(agent, Query(self.key, self.partition, epoch, tasks)))
+        return effects
+
+    def end(self, outcome: Outcome, now_ms: float) -> list[Effect]:
+        """End the run with ``outcome``: answer the callers and stop what has not ended."""
+        active = self.state is RunState.ACTIVE
+        self.state, self.outcome, self.ended_at_ms = RunState.ENDED, outcome, now_ms
+        effects: list[Effect] = [Reply(request, self.key, outcome) for request in self.waiting]
+        self.waiting.clear()
+        running: dict[AgentId, list[TaskIndex]] = {}
+        for index, slot in enumerate(self.slots):
+            if slot.body is None and slot.agent is not None:
+                running.setdefault(slot.agent, []).append(TaskIndex(index))
+        if active and self.finished < self.count:
+            effects.append(Withdraw(self.key))
+        effects += [SendAgent(agent, Cancel(self.key, tasks)) for agent, tasks in running.items()]
+        self.producers = frozenset(s.agent for s in self.slots if s.body is not None and s.agent)
+        self.slots = [_ENDED_SLOT] * self.count
+        self.submission = None
+        return effects
+
+    def refuse(self, outcome: NotRun | Impossible, now_ms: float) -> list[Effect]:
+        """Turn the run, of which no task was granted, into a refusal that holders must record."""
+        active = self.state is RunState.ACTIVE
+        self.state, self.outcome, self.ended_at_ms = RunState.REFUSING, outcome, now_ms
+        self.submission = None
+        return [Withdraw(self.key)] if active else []
+
+    def cancel(self, now_ms: float) -> list[Effect]:
+        """End the run because its caller cancelled it."""
+        started = sum(slot.agent is not None for slot in self.slots)
+        if self.state is RunState.COLLECTING:
+            started = self.count
+        return self.end(Cancelled(started), now_ms)
