Add the controller of the resource API

Operators list, get, write and watch resources; a write answers 200 only when a majority of entries has it and 202 otherwise. Writes of one kind that arrive together share one store write: 60 racing writes through two entries are all kept with fewer than 20 writes to the store. A write on a store that went back builds on what is in force.

--- a/snipewell/configuration.py
+++ b/snipewell/configuration.py
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         self._revision = Revision(0)
         self._store_revision = Revision(0)
-        self._behind = False
+        self._lower_count = 0
         self._parts: dict[Kind, dict[int, Group]] = {kind: {} for kind in Kind}
         self._part_revisions: dict[str, Revision] = {}
         self._values: dict[str, bytes] = {}
@@ -80,14 +80,18 @@
         return True
 
     def observe_store(self, revision: Revision) -> None:
-        """Take the store's own revision, and note when the store went back to an earlier one."""
+        """Take the store's own revision, and note when the store went back to an earlier one.
+
+        One lower revision may be an answer that was overtaken by another; two in a row are not.
+        """
         if revision >= self._store_revision:
-            if self._behind:
+            if self._lower_count > 1:
                 self._note("the store has caught up", at=revision)
-            self._behind = False
+            self._lower_count = 0
             self._store_revision = revision
-        elif not self._behind:
-            self._behind = True
+            return
+        self._lower_count += 1
+        if self._lower_count == 2:
             self._note(
                 "ALARM the store went back to an earlier revision; what is in force stays",
                 at=revision,
@@ -98,7 +102,7 @@
     @property
     def store_behind(self) -> bool:
         """Whether the store's revision is lower than one that it reported before."""
-        return self._behind
+        return self._lower_count > 1
 
     def snapshot(self) -> Snapshot:
         """Return everything in force, for another entry."""
--- a/snipewell/resource.py
+++ b/snipewell/resource.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from enum import Enum
 from typing import Annotated
 
@@ -87,3 +89,78 @@
     Kind.TEAM: TeamSpec,
     Kind.CONFIGURATION: ConfigurationSpec,
 }
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """One statement on a resource, such as ``InForce``, with the reason if it is not true."""
+
+    type: str
+    status: bool
+    reason: str = ""
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What the system reports on a resource.
+
+    The counts say how many registered entries and live agents have the resource's revision or a
+    later one, as far as the entry that answers knows.
+    """
+
+    observed_generation: int
+    conditions: list[Condition]
+    entries_at_revision: int
+    entries: int
+    agents_at_revision: int
+    agents: int
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A resource as the API returns it; ``resource_version`` goes back with the next write."""
+
+    kind: Kind
+    name: str
+    resource_version: int
+    generation: int
+    spec: msgspec.Raw
+    status: Status | None = None
+
+
+class SpecError(Exception):
+    """A spec that is not valid; ``field`` is the dotted path of what is wrong."""
+
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(f"{field}: {reason}" if field else reason)
+        self.field = field
+        self.reason = reason
+
+
+def parse_spec(kind: Kind, value: object) -> Spec:
+    """Return the spec of ``kind`` in ``value``, a JSON value as Python objects.
+
+    Raises SpecError, which names the field and what was expected.
+    """
+    try:
+        spec = msgspec.convert(value, SPEC_TYPES[kind])
+    except msgspec.ValidationError as error:
+        raise split_error(error) from None
+    if re.match(NAME_PATTERN, spec.name) is None:
+        raise SpecError("name", f"expected 1 to 63 of a-z, 0-9 and -, got {spec.name[:80]!r}")
+    if isinstance(spec, ConfigurationSpec) and spec.name != "default":
+        raise SpecError("name", f"expected 'default', the one that is used, got {spec.name!r}")
+    if isinstance(spec, ServiceSpec):
+        asked = spec.resources
+        for name in ("cores", "memory_mb", "accelerators"):
+            amount = getattr(asked, name)
+            if not math.isfinite(amount) or amount < 0:
+                raise SpecError(f"resources.{name}", f"expected at least 0, got {amount}")
+    return spec
+
+
+def split_error(error: msgspec.ValidationError) -> SpecError:
+    """Return msgspec's error with its field as a dotted path."""
+    reason, _, path = str(error).partition(" - at ")
+    field = path.strip("`").removeprefix("$").removeprefix(".")
+    named = re.search(r"(?:unknown|required) field `(\w+)`", reason)
+    if named is not None:
+        field = f"{field}.{named[1]}" if field else named[1]
+    return SpecError(field, reason[:1].lower() + reason[1:])
--- /dev/null
+++ b/snipewell/resources.py
@@ -0,0 +1,400 @@
+"""Controller of the resource API: list, get, put, delete, watch and status over the store.
+
+Reads answer with what is in force on this entry. Writes go to the store by compare-and-swap; all
+writes of one kind that arrive while one is under way share the next one.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import TypeVar
+from urllib.parse import unquote
+
+import curio
+import msgspec
+
+from .change import Change, Plan, State, Verdict, collect_parts
+from .clock import Clock
+from .configuration import Configuration
+from .group import Item, encode_group, part_key, part_of
+from .ids import Revision
+from .outcome import Invalid, SnipewellError
+from .resource import Condition, Document, Kind, SpecError, Status, parse_spec, split_error
+from .server import response_from_invalid
+from .store import (
+    Store,
+    StoreConflictError,
+    StoreError,
+    StoreUnknownError,
+    StoreUnreachableError,
+)
+from .watch import WatchStream
+from .web import Request, Response
+
+IN_FORCE_MS = 2_000
+MAX_WAIT_MS = 30_000
+WRITE_ATTEMPTS = 8
+"""More racing writers than this in a row are reported instead of tried on."""
+BACKOFF_MS = 20
+BATCH = 256
+MAX_WATCHES = 200
+
+T = TypeVar("T")
+WaitInForce = Callable[[Revision, float], Awaitable[bool]]
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """How many entries and agents have a revision, and how many there are."""
+
+    entries_at_revision: int
+    entries: int
+    agents_at_revision: int
+    agents: int
+
+
+class PutBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of PUT; without ``resource_version`` the resource is written whatever it is."""
+
+    spec: dict[str, object]
+    resource_version: int | None = None
+
+
+class ChangeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One change of a set; a ``spec`` of null deletes the resource."""
+
+    name: str
+    spec: dict[str, object] | None
+    resource_version: int | None = None
+
+
+class SetBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of POST to a kind: changes that are made as a whole or not at all."""
+
+    changes: list[ChangeBody]
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A set of changes that waits to be written, and what became of it."""
+
+    changes: Sequence[Change]
+    done: curio.Event = field(default_factory=curio.Event)
+    verdicts: list[Verdict] = field(default_factory=list)
+    revision: Revision = Revision(0)
+    error: SnipewellError | None = None
+
+
+class _RefusedError(Exception):
+    """A request that is answered with ``invalid``."""
+
+    def __init__(self, invalid: Invalid) -> None:
+        super().__init__(invalid.reason)
+        self.invalid = invalid
+
+
+class Resources:
+    """Serves ``/v1/<kind>`` and ``/v1/<kind>/<name>``.
+
+    ``wait_in_force`` waits until a majority of entries has a revision, for at most a time in ms;
+    ``count`` says who has it now. ``observe`` adds conditions to a resource's status. With a
+    ``token``, writes must carry it.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        configuration: Configuration,
+        clock: Clock,
+        rng: Random,
+        wait_in_force: WaitInForce,
+        count: Callable[[Revision], Counts],
+        token: str | None = None,
+        observe: Callable[[Kind, str], list[Condition]] | None = None,
+    ) -> None:
+        self._store = store
+        self._configuration = configuration
+        self._clock = clock
+        self._rng = rng
+        self._wait_in_force = wait_in_force
+        self._count = count
+        self._token = token
+        self._observe = observe
+        self._pending: dict[Kind, list[_Pending]] = {kind: [] for kind in Kind}
+        self._writing: set[Kind] = set()
+        self._watches = 0
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request to a path of the resource API."""
+        try:
+            return await self._route(request)
+        except _RefusedError as error:
+            return response_from_invalid(error.invalid)
+        except SpecError as error:
+            return response_from_invalid(Invalid(400, error.reason, error.field))
+        except SnipewellError as error:
+            return _respond_error(error)
+
+    async def _route(self, request: Request) -> Response:
+        parts = request.path.split("/")[2:]
+        try:
+            kind = Kind(parts[0])
+        except (ValueError, IndexError):
+            raise _refuse(404, f"no such path: {request.path[:200]}", "path") from None
+        name = unquote(parts[1]) if len(parts) > 1 else ""
+        if len(parts) > 2:
+            raise _refuse(404, f"no such path: {request.path[:200]}", "path")
+        match request.method:
+            case "GET" | "HEAD":
+                return self._get(kind, name) if name else self._list(kind, request)
+            case "PUT" if name:
+                return await self._write_sets(kind, [self._parse_put(kind, name, request)], request)
+            case "DELETE" if name:
+                version = _integer(request, "resource_version")
+                return await self._write_sets(kind, [Change(name, None, version)], request)
+            case "POST" if not name:
+                return await self._write_sets(kind, self._parse_set(kind, request), request, True)
+        raise _refuse(405, "expected GET, PUT or DELETE of a name, or POST to a kind", "method")
+
+    def _list(self, kind: Kind, request: Request) -> Response:
+        if request.query.get("watch") in ("1", "true"):
+            return self._watch(kind)
+        items = self._configuration.items(kind)
+        documents = [self.document(kind, name, items[name]) for name in sorted(items)]
+        body = {"kind": kind, "revision": self._configuration.revision, "items": documents}
+        return Response.from_json(200, body)
+
+    def _get(self, kind: Kind, name: str) -> Response:
+        item = self._configuration.items(kind).get(name)
+        if item is None:
+            raise _refuse(404, f"no such resource: {kind.value}/{name[:80]}", "name")
+        return Response.from_json(200, self.document(kind, name, item))
+
+    def document(self, kind: Kind, name: str, item: Item) -> Document:
+        """Return a resource with its status."""
+        part = part_of(name, self._configuration.parts(kind))
+        revision = self._configuration.part_revision(part_key(kind, part))
+        counts = self._count(revision)
+        in_force = counts.entries_at_revision >= counts.entries // 2 + 1
+        reason = f"{counts.entries_at_revision} of {counts.entries} entries are at the revision"
+        conditions = [Condition("InForce", in_force, "" if in_force else reason)]
+        if self._observe is not None:
+            conditions += self._observe(kind, name)
+        status = Status(
+            item.generation,
+            conditions,
+            counts.entries_at_revision,
+            counts.entries,
+            counts.agents_at_revision,
+            counts.agents,
+        )
+        return Document(kind, name, item.version, item.generation, item.spec, status)
+
+    def _watch(self, kind: Kind) -> Response:
+        if self._watches >= MAX_WATCHES:
+            raise _refuse(503, f"more than {MAX_WATCHES} watches; this one was not accepted")
+        self._watches += 1
+        stream = WatchStream(
+            self._clock,
+            lambda: self._configuration.revision,
+            lambda: self._configuration.items(kind),
+            lambda name, item: self.document(kind, name, item),
+            self._end_watch,
+        )
+        return Response(200, {"content-type": "application/jsonl"}, stream=stream)
+
+    def _end_watch(self) -> None:
+        self._watches -= 1
+
+    def _parse_put(self, kind: Kind, name: str, request: Request) -> Change:
+        body = _decode(request, PutBody)
+        spec = {"name": name, **body.spec}
+        if spec["name"] != name:
+            reason = f"expected {name!r} as in the path, got {spec['name']!r}"
+            raise _refuse(400, reason, "spec.name")
+        return self._parse_change(kind, "spec", ChangeBody(name, spec, body.resource_version))
+
+    def _parse_set(self, kind: Kind, request: Request) -> list[Change]:
+        changes = _decode(request, SetBody).changes
+        names = [change.name for change in changes]
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                raise _refuse(400, f"expected each name once, got {name!r} twice", "changes")
+        return [self._parse_change(kind, f"changes[{i}].spec", c) for i, c in enumerate(changes)]
+
+    def _parse_change(self, kind: Kind, place: str, body: ChangeBody) -> Change:
+        if body.spec is None:
+            return Change(body.name, None, body.resource_version)
+        try:
+            spec = parse_spec(kind, {"name": body.name, **body.spec})
+        except SpecError as error:
+            raise SpecError(f"{place}.{error.field}".rstrip("."), error.reason) from None
+        return Change(spec.name, spec, body.resource_version)
+
+    async def _write_sets(
+        self, kind: Kind, changes: list[Change], request: Request, is_set: bool = False
+    ) -> Response:
+        """Make a set of changes, wait until it is in force, and answer."""
+        if self._token is not None:
+            given = request.headers.get("authorization", "")
+            if not hmac.compare_digest(given.encode(), f"Bearer {self._token}".encode()):
+                raise _refuse(401, "expected the operators' token as a bearer token")
+        dry_run = request.query.get("dry_run") in ("1", "true")
+        wait_ms = min(_integer(request, "wait_ms", IN_FORCE_MS) or 0, MAX_WAIT_MS)
+        pending = _Pending(changes)
+        if dry_run:
+            plan, pending.revision = await self._plan(kind, [pending])
+        else:
+            await self._commit(kind, pending)
+        if pending.error is not None:
+            raise pending.error
+        conflict = any(verdict.state is State.CONFLICT for verdict in pending.verdicts)
+        if not is_set and pending.verdicts[0].state is State.UNCHANGED and not changes[0].spec:
+            raise _refuse(404, f"no such resource: {kind.value}/{changes[0].name[:80]}", "name")
+        in_force = False
+        if not conflict and not dry_run:
+            in_force = await self._wait_in_force(pending.revision, wait_ms)
+        status = 409 if conflict else 200 if in_force or dry_run else 202
+        body = {
+            "revision": pending.revision,
+            "in_force": in_force,
+            "dry_run": dry_run,
+            "results": [_describe(kind, verdict) for verdict in pending.verdicts],
+        }
+        if conflict:
+            body |= {"outcome": "conflict", "reason": "a resource changed since it was read"}
+        return Response.from_json(status, body)
+
+    async def _commit(self, kind: Kind, pending: _Pending) -> None:
+        """Hand a set to the kind's writer and wait; a caller that leaves stops no write."""
+        self._pending[kind].append(pending)
+        if kind not in self._writing:
+            self._writing.add(kind)
+            await curio.spawn(self._write_pending, kind, daemon=True)
+        await pending.done.wait()
+
+    async def _write_pending(self, kind: Kind) -> None:
+        try:
+            while self._pending[kind]:
+                batch = self._pending[kind][:BATCH]
+                del self._pending[kind][:BATCH]
+                try:
+                    await self._write_batch(kind, batch)
+                except SnipewellError as error:
+                    for pending in batch:
+                        pending.error = error
+                for pending in batch:
+                    await pending.done.set()
+        finally:
+            self._writing.discard(kind)
+
+    async def _write_batch(self, kind: Kind, batch: list[_Pending]) -> None:
+        """Write sets of changes to the store; raise StoreError if that is not certain."""
+        first: list[list[Verdict]] = []
+        wrote = False
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                plan, revision = await self._plan(kind, batch)
+                for write in plan.writes():
+                    value = encode_group(write.group)
+                    revision = await self._store.compare_and_swap(
+                        write.key, value, write.if_revision
+                    )
+                    first, wrote = first or plan.verdicts, True
+            except StoreConflictError:
+                pass
+            except StoreUnknownError as error:
+                if not error.changed:
+                    raise
+                first = first or plan.verdicts
+            except StoreUnreachableError as error:
+                if wrote:
+                    raise StoreUnknownError(error.peer, error.reason, False) from None
+                raise
+            else:
+                for pending, before in zip(batch, first or plan.verdicts, strict=True):
+                    pending.verdicts = _merge(before, pending.verdicts)
+                    pending.revision = Revision(max(revision, pending.revision))
+                return
+            await curio.sleep(self._rng.uniform(0, BACKOFF_MS * 2**attempt) / 1000)
+        reason = f"{kind.value}: other writers came first {WRITE_ATTEMPTS} times"
+        raise StoreUnreachableError("store", reason)
+
+    async def _plan(self, kind: Kind, batch: list[_Pending]) -> tuple[Plan, Revision]:
+        """Read the kind, fill in the verdicts, and return the plan and the revision it rests on."""
+        in_force = self._configuration.revision
+        listing = await self._store.list(part_key(kind))
+        if listing.revision < in_force:
+            reason = (
+                f"the store is at revision {listing.revision}, behind {in_force} in force; "
+                "nothing was written"
+            )
+            raise StoreUnreachableError("store", reason)
+        values = {key: (int(v.revision), v.value) for key, v in listing.values.items()}
+        try:
+            parts = collect_parts(kind, values, self._configuration)
+        except msgspec.MsgspecError as error:
+            raise StoreError("store", f"{kind.value}: unreadable value: {error}") from None
+        plan = Plan(kind, parts, listing.revision)
+        for pending in batch:
+            plan.add(pending.changes)
+        for pending, verdicts in zip(batch, plan.verdicts, strict=True):
+            pending.verdicts = verdicts
+            pending.revision = plan.revision_of(pending.changes)
+        return plan, Revision(max((p.revision for p in batch), default=Revision(0)))
+
+
+def _merge(before: list[Verdict], after: list[Verdict]) -> list[Verdict]:
+    """Return what became of changes that were written in several attempts."""
+    return [
+        Verdict(new.name, old.state, new.item) if new.state is State.UNCHANGED else new
+        for old, new in zip(before, after, strict=True)
+    ]
+
+
+def _describe(kind: Kind, verdict: Verdict) -> dict[str, object]:
+    body: dict[str, object] = {
+        "kind": kind,
+        "name": verdict.name,
+        "state": verdict.state,
+        "resource_version": verdict.item.version if verdict.item is not None else 0,
+    }
+    if verdict.item is not None:
+        body |= {"generation": verdict.item.generation, "spec": verdict.item.spec}
+    return body
+
+
+def _decode(request: Request, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(request.body, type=kind)
+    except msgspec.ValidationError as error:
+        raise split_error(error) from None
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise _refuse(400, f"expected JSON: {error}", "body") from None
+
+
+def _integer(request: Request, name: str, default: int | None = None) -> int | None:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        raise _refuse(400, f"expected a number of at least 0, got {text[:40]!r}", name)
+    return int(text)
+
+
+def _refuse(status: int, reason: str, field: str = "") -> _RefusedError:
+    return _RefusedError(Invalid(status, reason, field))
+
+
+def _respond_error(error: SnipewellError) -> Response:
+    """Return 504 if the write may take effect, 503 if it certainly did not."""
+    certain = isinstance(error, StoreUnreachableError)
+    body = {
+        "outcome": "not_written" if certain else "unknown",
+        "step": error.step.value,
+        "peer": error.peer,
+        "reason": error.reason,
+    }
+    return Response.from_json(503 if certain else 504, body, {"retry-after": "1"})
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -53,6 +53,8 @@
     configuration.apply(KEY, zones(3, patan=(4, False), kirtipur=(1, True)), Revision(9))
     configuration.observe_store(Revision(9))
     configuration.observe_store(Revision(3))
+    assert not configuration.store_behind
+    configuration.observe_store(Revision(3))
     assert configuration.store_behind
     written = zones(3, patan=(1, True), kirtipur=(10, False))
     assert configuration.apply(KEY, written, Revision(11))
--- /dev/null
+++ b/tests/test_resources.py
@@ -0,0 +1,288 @@
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+import snipewell.change
+from snipewell.clock import SystemClock
+from snipewell.configuration import Configuration
+from snipewell.ids import Revision, UpstreamId, ZoneId
+from snipewell.resource import Kind
+from snipewell.resources import Counts, Resources
+from snipewell.standins.keyvalue import Faults
+from snipewell.standins.store import StoreStandIn
+from snipewell.store import Change, Follower, Listing, Store
+from snipewell.web import Request
+
+
+class Entry:
+    """One entry's resource API, which learns of changes when it is asked to wait for them."""
+
+    def __init__(self, stand_in: StoreStandIn, token: str | None = None) -> None:
+        clock = SystemClock()
+        self.store = Store(stand_in, "store", clock, 200)
+        self.configuration = Configuration()
+        self.follower = Follower(self.store, "config/")
+        self.majority = True
+        self.resources = Resources(
+            self.store,
+            self.configuration,
+            clock,
+            random.Random(5),
+            self.wait,
+            lambda _: Counts(3, 3, 9, 10),
+            token,
+        )
+
+    async def learn(self) -> None:
+        answer = await self.follower.next(0)
+        if isinstance(answer, Listing):
+            self.configuration.apply_snapshot(answer.to_snapshot())
+            return
+        changes: list[Change] = answer.changes
+        for change in changes:
+            self.configuration.apply(change.key, change.value, change.revision)
+
+    async def wait(self, revision: Revision, timeout_ms: float) -> bool:
+        await self.learn()
+        return self.majority and self.configuration.revision >= revision
+
+    async def call(
+        self, method: str, path: str, body: object = None, **query: str
+    ) -> tuple[int, Any]:
+        data = b"" if body is None else msgspec.json.encode(body)
+        response = await self.resources.handle(Request(method, f"/v1/{path}", query, {}, data))
+        return response.status, msgspec.json.decode(response.body)
+
+    async def put(self, path: str, version: int | None = None, **spec: Any) -> tuple[int, Any]:
+        return await self.call("PUT", path, {"spec": spec, "resource_version": version})
+
+
+def run(scenario: Callable[[StoreStandIn], Awaitable[None]]) -> StoreStandIn:
+    stand_in = StoreStandIn()
+    curio.run(scenario, stand_in)
+    return stand_in
+
+
+def test_a_stale_resource_version_is_refused_with_the_current_one() -> None:
+    """Guards against an operator undoing what another one wrote since."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        status, created = await entry.put("zones/patan", 0)
+        assert (status, created["in_force"]) == (200, True)
+        version = created["results"][0]["resource_version"]
+        status, updated = await entry.put("zones/patan", version, in_service=False)
+        assert status == 200 and updated["results"][0]["generation"] == 2
+        status, refused = await entry.put("zones/patan", version, in_service=True)
+        assert status == 409
+        current = updated["results"][0]["resource_version"]
+        assert refused["results"][0]["resource_version"] == current
+        status, read = await entry.call("GET", "zones/patan")
+        assert read["resource_version"] == current and not read["spec"]["in_service"]
+        assert read["status"]["observed_generation"] == 2
+        assert read["status"]["agents_at_revision"] == 9
+
+    run(scenario)
+
+
+def test_racing_operators_lose_no_write_and_share_writes() -> None:
+    """Guards against lost updates between entries, and one store write for each small change."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        stand_in.faults.slow_ms = 2
+        entries = [Entry(stand_in), Entry(stand_in)]
+        bodies = [{"spec": {"weight": n + 1}, "resource_version": 0} for n in range(60)]
+        tasks = [
+            await curio.spawn(entries[n % 2].call, "PUT", f"teams/team-{n}", body)
+            for n, body in enumerate(bodies)
+        ]
+        answers = [await task.join() for task in tasks]
+        assert {status for status, _ in answers} == {200}
+        await entries[0].learn()
+        weights = {n: s.weight for n, s in entries[0].configuration.specs(Kind.TEAM).items()}
+        assert weights == {f"team-{n}": n + 1 for n in range(60)}
+
+    assert run(scenario).stats()["put"] < 20
+
+
+def test_a_lost_answer_of_the_store_gives_one_write_and_a_true_answer() -> None:
+    """Guards against a second write, or an error for a change that took effect."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        await stand_in.set_faults(Faults(lose_answers=1))
+        status, body = await entry.put("zones/patan", 0)
+        assert status == 200 and body["results"][0]["state"] == "created"
+
+    assert run(scenario).stats()["put"] == 1
+
+
+def test_a_caller_that_leaves_stops_no_write_of_others() -> None:
+    """Guards against a cancelled request that takes the whole batch with it."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        stand_in.faults.slow_ms = 20
+        entry = Entry(stand_in)
+        leaving = await curio.spawn(entry.put, "teams/annex", 0)
+        staying = await curio.spawn(entry.put, "teams/bazaar", 0)
+        await curio.sleep(0.01)
+        await leaving.cancel()
+        assert (await staying.join())[0] == 200
+        assert set(entry.configuration.specs(Kind.TEAM)) == {"annex", "bazaar"}
+
+    run(scenario)
+
+
+def test_a_write_without_a_majority_is_stored_and_says_so() -> None:
+    """Guards against telling an operator that a zone is out while entries still use it."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        entry.majority = False
+        status, body = await entry.put("zones/patan", in_service=False)
+        assert (status, body["in_force"]) == (202, False)
+        entry.majority = True
+        status, body = await entry.put("zones/patan", in_service=False)
+        assert (status, body["results"][0]["state"]) == (200, "unchanged")
+
+    run(scenario)
+
+
+def test_writes_while_the_store_is_down_or_behind_are_refused() -> None:
+    """Guards against a write that seems to succeed on a store that lost what is in force."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        await entry.put("zones/patan")
+        await entry.put("zones/patan", in_service=False)
+        await stand_in.set_faults(Faults(down="refuse"))
+        status, body = await entry.put("zones/kirtipur")
+        assert (status, body["outcome"], body["step"]) == (503, "not_written", "store")
+        await stand_in.set_faults(Faults(go_back_to=1))
+        status, body = await entry.put("zones/kirtipur")
+        assert status == 503 and "behind 2 in force" in body["reason"]
+        # Writes elsewhere bring the store's revision past what is in force.
+        for _ in range(2):
+            stand_in.core.put("cluster/x", b"", None)
+        status, body = await entry.put("zones/kirtipur")
+        assert status == 200
+        fresh = Entry(stand_in)
+        await fresh.learn()
+        for configuration in (entry.configuration, fresh.configuration):
+            assert not configuration.accepts(ZoneId("patan"), UpstreamId("u1"))
+            assert configuration.accepts(ZoneId("kirtipur"), UpstreamId("u1"))
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status", "field", "reason"),
+    [
+        ("zones/patan", {"spec": {"in_servise": False}}, 400, "spec.in_servise", "unknown field"),
+        ("zones/patan", {"spec": {"in_service": "no"}}, 400, "spec.in_service", "expected `bool`"),
+        ("zones/patan", {"spec": {"name": "kirtipur"}}, 400, "spec.name", "expected 'patan'"),
+        ("zones/Patan", {"spec": {}}, 400, "spec.name", "expected 1 to 63"),
+        ("zones/patan", {}, 400, "spec", "required field"),
+        ("services/s", {"spec": {"deadline_ms": 0}}, 400, "spec.deadline_ms", ">= 1"),
+        (
+            "services/s",
+            {"spec": {"resources": {"cores": -1}}},
+            400,
+            "spec.resources.cores",
+            "at least 0",
+        ),
+        ("configurations/other", {"spec": {}}, 400, "spec.name", "expected 'default'"),
+        ("robots/r", {"spec": {}}, 404, "path", "no such path"),
+    ],
+)
+def test_invalid_writes_name_the_field(
+    path: str, body: object, status: int, field: str, reason: str
+) -> None:
+    """Guards against an operator who must guess which field was wrong."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        got, answer = await Entry(stand_in).call("PUT", path, body)
+        assert (got, answer["field"]) == (status, field)
+        assert reason in answer["reason"]
+
+    run(scenario)
+
+
+def test_a_set_is_made_as_a_whole_and_dry_runs_write_nothing() -> None:
+    """Guards against half of a directory being applied, and against a trial that changes things."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        await entry.put("zones/patan")
+        puts = stand_in.stats()["put"]
+        changes = [
+            {"name": "kirtipur", "spec": {}},
+            {"name": "patan", "spec": None, "resource_version": 99},
+        ]
+        status, body = await entry.call("POST", "zones", {"changes": changes})
+        assert status == 409
+        assert [result["state"] for result in body["results"]] == ["skipped", "conflict"]
+        status, body = await entry.call("POST", "zones", {"changes": changes[:1]}, dry_run="true")
+        assert (status, body["results"][0]["state"]) == (200, "created")
+        assert stand_in.stats()["put"] == puts
+        assert (await entry.call("GET", "zones/kirtipur"))[0] == 404
+        assert (await entry.call("DELETE", "zones/kirtipur"))[0] == 404
+
+    run(scenario)
+
+
+def test_writes_need_the_token() -> None:
+    """Guards against a caller on the network taking a zone out."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in, "a-long-secret-token")
+        assert (await entry.put("zones/patan"))[0] == 401
+        assert (await entry.call("GET", "zones"))[0] == 200
+
+    run(scenario)
+
+
+def test_a_kind_that_grows_is_split_and_stays_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against teams lost when their value no longer fits into one key."""
+    monkeypatch.setattr(snipewell.change, "SPLIT_BYTES", 2_000)
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        for start in range(0, 120, 10):
+            changes = [{"name": f"team-{n}", "spec": {}} for n in range(start, start + 10)]
+            assert (await entry.call("POST", "teams", {"changes": changes}))[0] == 200
+        assert len(entry.configuration.specs(Kind.TEAM)) == 120
+        assert len(entry.configuration.parts(Kind.TEAM)) > 8
+        assert (await entry.call("DELETE", "teams/team-7"))[0] == 200
+        _, listed = await entry.call("GET", "teams")
+        assert len(listed["items"]) == 119
+
+    run(scenario)
+
+
+def test_a_watch_shows_the_present_and_then_each_change() -> None:
+    """Guards against an operator who waits for a change that the stream has left out."""
+
+    async def scenario(stand_in: StoreStandIn) -> None:
+        entry = Entry(stand_in)
+        await entry.put("zones/patan")
+        response = await entry.resources.handle(Request("GET", "/v1/zones", {"watch": "1"}))
+        stream = response.stream
+        assert stream is not None
+        lines = (await anext(stream)).splitlines()
+        await entry.put("zones/kirtipur", in_service=False)
+        await entry.call("DELETE", "zones/patan")
+        lines += (await anext(stream)).splitlines()
+        events = [msgspec.json.decode(line) for line in lines]
+        assert [(e["type"], e["name"]) for e in events] == [
+            ("put", "patan"),
+            ("synced", ""),
+            ("delete", "patan"),
+            ("put", "kirtipur"),
+        ]
+
+    run(scenario)
