--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: the simulation of placement policies, and the bench of the real processes."""
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,110 @@
+"""Compare placement policies in the simulation: ``python -m bench.policy [--json] [--quick]``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+
+import msgspec
+
+from bench.baselines import PRODUCT, world_configs
+from bench.measure import Figures, run_load
+from bench.scenarios import SCENARIOS, ScenarioFigures
+
+LOADS = (0.3, 0.7, 0.9, 2.0)
+DURATION_MS = 120_000.0
+QUICK_MS = 40_000.0
+WORKERS = 4
+# Targets of docs/design.md, section 9.
+TARGET_P50 = 1.1
+TARGET_P99 = 1.5
+TARGET_WASTED = 0.1
+TARGET_GOODPUT = 0.9
+TARGET_ZONE_MOVE = 0.95
+
+
+def run_named(name: str, load: float, duration_ms: float) -> Figures:
+    """Run the policy ``name`` at ``load``, in a process of its own."""
+    return run_load(name, world_configs()[name], load, duration_ms)
+
+
+def run_scenario(name: str) -> ScenarioFigures:
+    """Run the scenario ``name``, in a process of its own."""
+    return SCENARIOS[name]()
+
+
+def print_table(rows: Sequence[Figures]) -> None:
+    """Print one line for each policy and load."""
+    print(
+        f"{'policy':<26}{'load':>5}{'p50':>7}{'p99':>8}{'1 p50':>7}{'1 p99':>8}{'n p50':>7}"
+        f"{'n p99':>8}{'waste':>7}{'goodput':>8}{'notrun':>7}{'late':>5}{'us/task':>8}"
+    )
+    for row in rows:
+        print(
+            f"{row.policy:<26}{row.load:>5.1f}{row.p50:>7.2f}{row.p99:>8.2f}"
+            f"{row.single_p50:>7.2f}{row.single_p99:>8.2f}{row.job_p50:>7.2f}{row.job_p99:>8.2f}"
+            f"{row.wasted:>7.3f}{row.goodput:>8.3f}{row.not_run:>7}{row.late:>5}"
+            f"{row.decision_us:>8.0f}"
+        )
+
+
+def check_targets(
+    rows: Sequence[Figures], scenarios: Sequence[ScenarioFigures]
+) -> list[tuple[str, float, str, bool]]:
+    """Return name, figure, bound and whether it is met, for the product's policy."""
+    own = {row.load: row for row in rows if row.policy == PRODUCT}
+    peak = max(row.goodput for row in own.values())
+    zone = next(s for s in scenarios if s.name == "zone leaves and returns")
+    goodput = own[2.0].goodput / peak
+    move = zone.figures["work over remaining capacity"]
+    p50, p99, wasted = own[0.7].p50, own[0.7].p99, own[0.7].wasted
+    return [
+        ("response over ideal p50 at 0.7", p50, f"<= {TARGET_P50}", p50 <= TARGET_P50),
+        ("response over ideal p99 at 0.7", p99, f"<= {TARGET_P99}", p99 <= TARGET_P99),
+        ("wasted messages a task at 0.7", wasted, f"< {TARGET_WASTED}", wasted < TARGET_WASTED),
+        ("goodput at 2.0 over peak", goodput, f"> {TARGET_GOODPUT}", goodput > TARGET_GOODPUT),
+        ("work during a zone move", move, f">= {TARGET_ZONE_MOVE}", move >= TARGET_ZONE_MOVE),
+    ]
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run everything and print the table, the scenarios and the targets."""
+    parser = argparse.ArgumentParser(prog="python -m bench.policy", description=__doc__)
+    parser.add_argument("--json", action="store_true", help="print JSON instead of the table")
+    parser.add_argument("--quick", action="store_true", help="shorter runs; figures are noisier")
+    parser.add_argument("--only", default="", help="policies whose name contains this")
+    options = parser.parse_args(arguments)
+    duration_ms = QUICK_MS if options.quick else DURATION_MS
+    names = [name for name in world_configs() if options.only in name or name == PRODUCT]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        runs = [pool.submit(run_named, n, load, duration_ms) for n in names for load in LOADS]
+        others = [pool.submit(run_scenario, name) for name in SCENARIOS]
+        rows = [run.result() for run in runs]
+        scenarios = [run.result() for run in others]
+    targets = check_targets(rows, scenarios)
+    if options.json:
+        result = {
+            "policies": [asdict(row) for row in rows],
+            "scenarios": [asdict(scenario) for scenario in scenarios],
+            "targets": [
+                {"name": name, "figure": figure, "target": bound, "met": met}
+                for name, figure, bound, met in targets
+            ],
+        }
+        print(msgspec.json.encode(result).decode())
+        return 0
+    print_table(rows)
+    for scenario in scenarios:
+        figures = ", ".join(f"{name} {value:g}" for name, value in scenario.figures.items())
+        print(f"\n{scenario.name}: {figures}", end="")
+    print("\n")
+    for name, figure, bound, met in targets:
+        print(f"{'ok  ' if met else 'MISS'} {name}: {figure:.3f} (target {bound})")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -1,4 +1,4 @@
-"""Joins backlog, placement and admission: which waiting task goes to which agent now.
+"""Joins backlog, placement, estimates and ejection: which waiting task goes to which agent now.
 
 A ``Dispatcher`` decides and does no I/O. Its owner calls ``next_grants`` after every batch of
 events and at least every 20 ms, and sends what it returns.
@@ -11,31 +11,48 @@
 from random import Random
 
 from .admission import AdmissionLimits, Demand, find_impossible, find_refusal
-from .backlog import Backlog, Batch, PlacementClass
+from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
-from .ids import AgentId, Incarnation, ScopedKey, ServiceName, TaskIndex, TeamName, ZoneId
+from .estimate import EstimateLimits, Estimator
+from .ids import (
+    AgentId,
+    Incarnation,
+    ScopedKey,
+    ServiceName,
+    TaskIndex,
+    TeamName,
+    UpstreamId,
+    ZoneId,
+)
 from .message import Candidate, Load, RefusalReason, TaskState
 from .outcome import Impossible, NotRun
+from .outlier import Health, OutlierDetector, OutlierLimits
 from .placement import ZONE_DISTANCE_MS, AgentState, Option, Policy, choose
 from .resource import ConfigurationSpec, ServiceSpec, TeamSpec
 from .view import AgentView
 
+_ASSESS_EVERY_MS = 100.0
+_OVERDUE_FACTOR = 4.0
+
 
 @dataclass(frozen=True, slots=True)
 class DispatchLimits:
     """Bounds of one entry's dispatcher. Times are in milliseconds.
 
     ``max_grants`` bounds one call of ``next_grants``, ``max_candidates`` the agents that a key's
-    record names.
+    record names, ``max_classes`` the placement classes whose agents are kept at hand. A job of at
+    least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog.
     """
 
     admission: AdmissionLimits = field(default_factory=AdmissionLimits)
+    estimate: EstimateLimits = field(default_factory=EstimateLimits)
+    outlier: OutlierLimits = field(default_factory=OutlierLimits)
     max_grants: int = 512
     max_candidates: int = 256
+    max_classes: int = 1_024
     bulk_tasks: int = 32
     ageing: float = 0.1
-    default_expected_ms: float = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +72,7 @@
     agent: AgentId
     arrived_ms: float
     granted_ms: float
+    overdue_ms: float
 
 
 class Dispatcher:
@@ -69,7 +87,10 @@
         self._policy = policy
         self._limits = limits
         self._backlog = Backlog(limits.ageing, limits.bulk_tasks)
+        self._estimator = Estimator(limits.estimate)
+        self._outliers = OutlierDetector(rng, limits.outlier)
         self._agents: dict[AgentId, AgentState] = {}
+        self._eligible: dict[PlacementClass, list[AgentState]] = {}
         self._running: dict[tuple[ScopedKey, TaskIndex], _Running] = {}
         self._returned: dict[tuple[ScopedKey, TaskIndex], float] = {}
         self._team_running: dict[TeamName, int] = {}
@@ -77,7 +98,9 @@
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
         self._homes = 1
+        self._grants = 0
         self._started_ms = clock.now_ms()
+        self._assessed_ms = self._started_ms
 
     def on_configuration(
         self,
@@ -92,6 +115,8 @@
         self._zones = frozenset(zones)
         for spec in self._teams.values():
             self._backlog.set_weight(spec.name, spec.weight)
+        self._estimator.declare({n: spec.expected_ms for n, spec in self._services.items()})
+        self._outliers.set_eject_share(settings.eject_share)
 
     def on_homes(self, homes: int) -> None:
         """Set how many entries place tasks on the same agents, this one included."""
@@ -102,14 +127,22 @@
         state = self._agents.get(view.agent)
         if state is None or state.view.incarnation != view.incarnation:
             self.on_agent_gone(view.agent)
-            state = self._agents[view.agent] = AgentState(view)
+            distance_ms = 0.0 if view.zone == self._zone else ZONE_DISTANCE_MS
+            state = self._agents[view.agent] = AgentState(view, distance_ms)
+            self._outliers.add(view.upstream)
+            self._eligible.clear()
+        elif _placement_part(state.view) != _placement_part(view):
+            self._eligible.clear()
         state.view = view
         state.report(view.load, self._clock.now_ms())
 
     def on_agent_gone(self, agent: AgentId) -> None:
         """Forget an agent and the tasks granted to it; their home decides what becomes of them."""
-        if self._agents.pop(agent, None) is None:
+        gone = self._agents.pop(agent, None)
+        if gone is None:
             return
+        self._eligible.clear()
+        self._outliers.remove(gone.view.upstream)
         for place in [place for place, run in self._running.items() if run.agent == agent]:
             self._end(*place)
 
@@ -118,7 +151,8 @@
         now = self._clock.now_ms()
         for task in tasks:
             arrived = self._returned.pop((task.key, task.task), now)
-            self._backlog.put(task, arrived, self._declared_ms(task.service))
+            expected_ms = self._estimator.expect_service_ms(task.service)
+            self._backlog.put(task, arrived, expected_ms)
 
     def withdraw(self, key: ScopedKey) -> None:
         """Remove the waiting tasks of ``key``; granted ones end by ``on_result`` or otherwise."""
@@ -140,8 +174,18 @@
         load: Load,
     ) -> None:
         """Take in the end of a task; ``elapsed_ms`` is the upstream's time by the agent's clock."""
-        self._end(key, task)
-        self.on_started(agent, load)
+        now = self._clock.now_ms()
+        run = self._end(key, task)
+        holder = self._agents.get(agent)
+        if holder is None:
+            return
+        holder.report(load, now)
+        if run is None or state is TaskState.CANCELLED:
+            return
+        service, upstream = run.ready.service, holder.view.upstream
+        if state is TaskState.OK:
+            self._estimator.learn(service, upstream, elapsed_ms, now)
+        self._outliers.on_end(upstream, service, key, state is TaskState.OK, now)
 
     def on_refused(
         self, agent: AgentId, key: ScopedKey, task: TaskIndex, reason: RefusalReason, load: Load
@@ -162,13 +206,16 @@
     def next_grants(self) -> list[Grant]:
         """Return the grants to make now, in the order in which they should be sent."""
         now = self._clock.now_ms()
+        if now - self._assessed_ms >= _ASSESS_EVERY_MS:
+            self._assess(now)
         grants: list[Grant] = []
         blocked: set[PlacementClass] = set()
         while len(grants) < self._limits.max_grants:
             batch = self._backlog.best(blocked, now)
             if batch is None:
                 break
-            option = choose(self._policy, self._options(batch), self._rng)
+            options = self._options(batch.placement, now)
+            option = choose(self._policy, options, self._rng, self._backlog.waiting)
             if option is None:
                 blocked.add(batch.placement)
             else:
@@ -209,47 +256,97 @@
         """Return how many granted tasks have not ended."""
         return len(self._running)
 
-    def _options(self, batch: Batch) -> list[Option]:
-        placement = batch.placement
-        queue = self._policy.binding.queue
+    def ejected(self) -> list[UpstreamId]:
+        """Return the upstreams that this entry has ejected or is probing."""
+        return self._outliers.ejected()
+
+    def _options(self, placement: PlacementClass, now_ms: float) -> list[Option]:
+        """Return the agents that may run tasks of ``placement``, or only one due for a probe."""
+        eligible = self._find_eligible(placement)
+        sample = self._policy.sample
+        if sample and len(eligible) > sample:
+            eligible = self._rng.sample(eligible, sample)
+        binding = self._policy.binding
+        bulk = placement.size is Size.BULK
         options = []
-        for agent in placement.candidates:
-            state = self._agents.get(agent)
-            if state is None or agent in placement.excluded:
-                continue
-            view = state.view
-            if view.draining or not view.in_service or state.load() >= view.slots + queue:
+        for state in eligible:
+            upstream = state.view.upstream
+            health = self._outliers.health(upstream)
+            if health is not Health.ACTIVE:
+                if health is Health.PROBING and self._is_probe_due(state, placement, now_ms):
+                    return [Option(state, True, 0.0)]
                 continue
-            if state.has_room_for(placement.resources):
-                distance = 0.0 if view.zone == self._zone else ZONE_DISTANCE_MS
-                options.append(Option(state, distance, batch.expected_ms))
+            is_open = state.is_open(binding, self._homes, bulk)
+            if is_open and not state.has_room_for(placement.resources):
+                is_open = False
+            expected_ms = self._estimator.expect_ms(placement.service, upstream, now_ms)
+            options.append(
+                Option(state, is_open, expected_ms, self._outliers.failure_rate(upstream))
+            )
         return options
 
+    def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
+        """Return whether to probe with this task: a single request, so that no job is lost."""
+        return placement.size is Size.SINGLE and self._outliers.may_probe(
+            state.view.upstream, state.own, now_ms
+        )
+
+    def _find_eligible(self, placement: PlacementClass) -> list[AgentState]:
+        eligible = self._eligible.get(placement)
+        if eligible is None:
+            if len(self._eligible) >= self._limits.max_classes:
+                self._eligible.clear()
+            eligible = self._eligible[placement] = [
+                self._agents[agent]
+                for agent in sorted(placement.candidates - placement.excluded)
+                if agent in self._agents and _is_placeable(self._agents[agent].view, placement)
+            ]
+        return eligible
+
     def _grant(self, batch: Batch, option: Option, now_ms: float) -> Grant:
         task = self._backlog.take(batch)
-        view = option.state.view
-        option.state.use(task.resources, 1)
-        self._running[task.key, task.task] = _Running(task, view.agent, batch.arrived_ms, now_ms)
+        state, view = option.state, option.state.view
+        self._grants += 1
+        state.begin(task.resources, self._grants, now_ms)
+        overdue_ms = _OVERDUE_FACTOR * max(option.expected_ms, batch.expected_ms)
+        self._running[task.key, task.task] = _Running(
+            task, view.agent, batch.arrived_ms, now_ms, overdue_ms
+        )
         self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
-        reason = f"{option.state.load()} of {view.slots} slots, {option.expected_ms:.0f} ms"
+        reason = f"load {state.load()} of {view.slots}, expected {option.expected_ms:.0f} ms"
+        if self._outliers.health(view.upstream) is Health.PROBING:
+            self._outliers.on_probe(view.upstream, now_ms)
+            reason = "probe"
         return Grant(task.key, task.task, view.agent, view.incarnation, reason)
 
+    def _assess(self, now_ms: float) -> None:
+        """Learn from tasks that are overdue, and eject or probe upstreams."""
+        self._assessed_ms = now_ms
+        for run in self._running.values():
+            age_ms = now_ms - run.granted_ms
+            if age_ms >= run.overdue_ms:
+                run.overdue_ms *= 2
+                state = self._agents.get(run.agent)
+                if state is not None:
+                    self._estimator.learn_overdue(
+                        run.ready.service, state.view.upstream, age_ms, now_ms
+                    )
+        upstreams = {state.view.upstream for state in self._agents.values()}
+        factors = {name: self._estimator.factor(name, now_ms) for name in upstreams}
+        self._outliers.tick(factors, now_ms)
+
     def _end(self, key: ScopedKey, task: TaskIndex) -> _Running | None:
         run = self._running.pop((key, task), None)
         if run is not None:
             self._team_running[run.ready.team] -= 1
             state = self._agents.get(run.agent)
             if state is not None:
-                state.use(run.ready.resources, -1)
+                state.end(run.ready.resources)
         return run
 
-    def _declared_ms(self, service: ServiceName) -> float:
-        spec = self._services.get(service)
-        return spec.expected_ms if spec else self._limits.default_expected_ms
-
     def _demand(self, submission: Submission) -> Demand:
         slots = sum(s.view.slots for s in self._agents.values() if s.view.in_service)
-        run_ms = self._declared_ms(submission.service)
+        run_ms = self._estimator.expect_service_ms(submission.service)
         own_work = run_ms * (len(submission.tasks) - 1)
         rate = max(1.0, slots / self._homes)
         return Demand(
@@ -269,3 +366,17 @@
         if service.upstreams and view.upstream not in service.upstreams:
             return False
     return view.has_room_for(submission.resources)
+
+
+def _placement_part(view: AgentView) -> tuple[object, ...]:
+    """Return the part of a view that decides where an agent may be used."""
+    return view.draining, view.in_service, view.services, view.worker, view.upstream
+
+
+def _is_placeable(view: AgentView, placement: PlacementClass) -> bool:
+    return (
+        not view.draining
+        and view.in_service
+        and view.offers(placement.service)
+        and view.has_room_for(placement.resources)
+    )
--- /dev/null
+++ b/snipewell/estimate.py
@@ -0,0 +1,154 @@
+"""Learned service time of each (service, upstream).
+
+The estimate is the service's mean on an upstream of ordinary speed, times the speed factor of the
+upstream, times a correction for the pair. Each part is a decayed mean that counts for less the
+fewer or older its samples are, so a pair without samples is estimated from its service and its
+upstream, and an upstream that was slow and got no work for a while is tried again. Factors are
+means of logarithms: a few tasks of several seconds hardly move them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from .ids import ServiceName, UpstreamId
+
+_LOG_LIMIT = math.log(100.0)
+
+
+@dataclass(frozen=True, slots=True)
+class EstimateLimits:
+    """How estimates are formed.
+
+    ``window`` is the number of samples a mean looks back on and ``half_life_ms`` the age at which
+    its samples count half. A mean with ``prior_samples`` samples counts as much as its prior. After
+    ``declared_samples`` samples the declared time of a service is ignored, however far off it is.
+    """
+
+    window: int = 64
+    half_life_ms: float = 15_000
+    prior_samples: float = 4.0
+    declared_samples: int = 5
+    default_ms: float = 200.0
+
+
+class DecayedMean:
+    """A mean and mean absolute deviation that forget by number and by age of samples."""
+
+    __slots__ = ("_at_ms", "mean", "samples", "spread")
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.spread = 0.0
+        self.samples = 0.0
+        self._at_ms = 0.0
+
+    def count(self, now_ms: float, half_life_ms: float) -> float:
+        """Return the number of samples, old ones counted less."""
+        age_ms = now_ms - self._at_ms
+        if age_ms < half_life_ms / 16:
+            return self.samples
+        return float(self.samples * 0.5 ** (age_ms / half_life_ms))
+
+    def add(self, value: float, now_ms: float, window: int, half_life_ms: float) -> None:
+        """Take in a sample."""
+        count = min(self.count(now_ms, half_life_ms), window - 1) + 1
+        deviation = value - self.mean if count > 1 else 0.0
+        self.mean += (value - self.mean) / count
+        self.spread += (abs(deviation) - self.spread) / count
+        self.samples = count
+        self._at_ms = now_ms
+
+
+class Estimator:
+    """Service times as seen by one entry. Times are in milliseconds."""
+
+    def __init__(self, limits: EstimateLimits | None = None) -> None:
+        self._limits = limits or EstimateLimits()
+        self._declared: dict[ServiceName, float] = {}
+        self._means: dict[ServiceName, DecayedMean] = {}
+        self._levels: dict[ServiceName, DecayedMean] = {}
+        self._factors: dict[UpstreamId, DecayedMean] = {}
+        self._pairs: dict[tuple[ServiceName, UpstreamId], DecayedMean] = {}
+
+    def declare(self, declared: Mapping[ServiceName, float]) -> None:
+        """Use the operators' expected times of the services until there are samples."""
+        self._declared = dict(declared)
+
+    def learn(
+        self, service: ServiceName, upstream: UpstreamId, elapsed_ms: float, now_ms: float
+    ) -> None:
+        """Take in the time of a task that ended well."""
+        elapsed_ms = max(elapsed_ms, 0.1)
+        factor = math.exp(self._shrunk(self._factors.get(upstream), now_ms))
+        mean = self._means.setdefault(service, DecayedMean())
+        self._add(mean, elapsed_ms / factor, now_ms)
+        self._learn_factor(service, upstream, elapsed_ms, now_ms)
+
+    def learn_overdue(
+        self, service: ServiceName, upstream: UpstreamId, age_ms: float, now_ms: float
+    ) -> None:
+        """Take in that a task has run for ``age_ms`` without ending.
+
+        A straggler's results come late; without this, it would keep getting work until then.
+        """
+        if service in self._levels:
+            self._learn_factor(service, upstream, age_ms, now_ms)
+
+    def expect_service_ms(self, service: ServiceName) -> float:
+        """Return the expected time on an upstream of ordinary speed."""
+        mean = self._means.get(service)
+        declared = self._declared.get(service, self._limits.default_ms)
+        if mean is None:
+            return declared
+        share = min(1.0, mean.samples / self._limits.declared_samples)
+        return share * mean.mean + (1 - share) * declared
+
+    def expect_ms(self, service: ServiceName, upstream: UpstreamId, now_ms: float) -> float:
+        """Return the expected time of a task of ``service`` on ``upstream``."""
+        factor = self._shrunk(self._factors.get(upstream), now_ms)
+        pair = self._shrunk(self._pairs.get((service, upstream)), now_ms)
+        return self.expect_service_ms(service) * math.exp(factor + pair)
+
+    def spread_ms(self, service: ServiceName) -> float:
+        """Return the mean absolute deviation of the service's times."""
+        mean = self._means.get(service)
+        return mean.spread if mean else 0.0
+
+    def factor(self, upstream: UpstreamId, now_ms: float) -> tuple[float, float]:
+        """Return how slow ``upstream`` is against an ordinary one, and the number of samples."""
+        mean = self._factors.get(upstream)
+        if mean is None:
+            return 1.0, 0.0
+        return math.exp(mean.mean), mean.count(now_ms, self._limits.half_life_ms)
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Forget an upstream, for instance when it restarts."""
+        self._factors.pop(upstream, None)
+        for pair in [pair for pair in self._pairs if pair[1] == upstream]:
+            del self._pairs[pair]
+
+    def _learn_factor(
+        self, service: ServiceName, upstream: UpstreamId, elapsed_ms: float, now_ms: float
+    ) -> None:
+        log = math.log(elapsed_ms)
+        factor = self._factors.setdefault(upstream, DecayedMean())
+        level = self._levels.setdefault(service, DecayedMean())
+        shrunk = self._shrunk(factor, now_ms)
+        self._add(level, log - shrunk, now_ms)
+        relative = min(max(log - level.mean, -_LOG_LIMIT), _LOG_LIMIT)
+        self._add(factor, relative, now_ms)
+        pair = self._pairs.setdefault((service, upstream), DecayedMean())
+        self._add(pair, relative - shrunk, now_ms)
+
+    def _add(self, mean: DecayedMean, value: float, now_ms: float) -> None:
+        mean.add(value, now_ms, self._limits.window, self._limits.half_life_ms)
+
+    def _shrunk(self, mean: DecayedMean | None, now_ms: float) -> float:
+        """Return the mean drawn towards 0 as far as it has few or old samples."""
+        if mean is None:
+            return 0.0
+        count = mean.count(now_ms, self._limits.half_life_ms)
+        return mean.mean * count / (count + self._limits.prior_samples)
--- /dev/null
+++ b/snipewell/outlier.py
@@ -0,0 +1,219 @@
+"""Ejection and probing of upstreams that fail or become very slow.
+
+An upstream that fails everything at once looks idle and attracts load. It is ejected when it fails
+clearly more than the same services fail elsewhere. A service that fails everywhere raises the
+expected failures of every upstream and ejects none, and one key counts at most once for each
+upstream, so a job with bad payloads ejects none either.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from statistics import median
+
+from .ids import ScopedKey, ServiceName, UpstreamId
+
+
+class Health(Enum):
+    """Whether an upstream gets work: as usual, none, or a few probes."""
+
+    ACTIVE = "active"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclass(frozen=True, slots=True)
+class OutlierLimits:
+    """When an upstream is ejected and how it returns. Times are in milliseconds.
+
+    Three failures beyond the expected number eject at a failure rate of at least
+    ``min_failure_rate``. ``slow_factor`` is against the median upstream. The first ejection lasts
+    ``eject_ms`` and each further one twice as long, up to ``max_eject_ms``. ``probes`` good tasks
+    in a row end the probing.
+    """
+
+    eject_share: float = 0.3
+    window: int = 20
+    min_excess: float = 2.5
+    min_failure_rate: float = 0.4
+    slow_factor: float = 4.0
+    min_slow_samples: float = 4.0
+    eject_ms: float = 5_000
+    max_eject_ms: float = 300_000
+    probes: int = 3
+    probe_gap_ms: float = 250
+    remembered_keys: int = 32
+
+
+@dataclass(slots=True)
+class _Count:
+    total: float = 0.0
+    failed: float = 0.0
+
+    def add(self, failed: bool, window: int) -> None:
+        keep = 1.0 - 1.0 / window
+        self.total = self.total * keep + 1.0
+        self.failed = self.failed * keep + failed
+
+
+@dataclass(slots=True)
+class _Record:
+    health: Health = Health.ACTIVE
+    counts: dict[ServiceName, _Count] = field(default_factory=dict)
+    failed_keys: OrderedDict[ScopedKey, None] = field(default_factory=OrderedDict)
+    until_ms: float = 0.0
+    ejections: int = 0
+    good_probes: int = 0
+    probed_ms: float = float("-inf")
+    reason: str = ""
+
+
+class OutlierDetector:
+    """Health of the upstreams as one entry sees it."""
+
+    def __init__(self, rng: Random, limits: OutlierLimits | None = None) -> None:
+        self._rng = rng
+        self._limits = limits or OutlierLimits()
+        self._eject_share = self._limits.eject_share
+        self._records: dict[UpstreamId, _Record] = {}
+        self._services: dict[ServiceName, _Count] = {}
+
+    def set_eject_share(self, share: float) -> None:
+        """Never eject more than ``share`` of the known upstreams (rounded down)."""
+        self._eject_share = share
+
+    def add(self, upstream: UpstreamId) -> None:
+        """Take in that ``upstream`` exists."""
+        self._records.setdefault(upstream, _Record())
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that has gone."""
+        self._records.pop(upstream, None)
+
+    def health(self, upstream: UpstreamId) -> Health:
+        """Return whether ``upstream`` gets work."""
+        record = self._records.get(upstream)
+        return record.health if record else Health.ACTIVE
+
+    def reason(self, upstream: UpstreamId) -> str:
+        """Return why ``upstream`` was ejected last, for the log and the resource's status."""
+        record = self._records.get(upstream)
+        return record.reason if record else ""
+
+    def ejected(self) -> list[UpstreamId]:
+        """Return the upstreams that are ejected or being probed."""
+        return [name for name, r in self._records.items() if r.health is not Health.ACTIVE]
+
+    def failure_rate(self, upstream: UpstreamId) -> float:
+        """Return how much more often than expected the upstream failed lately, 0 to 1.
+
+        An upstream that may not be ejected because too many are is still avoided by this.
+        """
+        record = self._records.get(upstream)
+        if record is None or not record.failed_keys:
+            return 0.0
+        total, failed, expected = self._sums(record)
+        return max(0.0, failed - expected) / (total + 3.0)
+
+    def may_probe(self, upstream: UpstreamId, running: int, now_ms: float) -> bool:
+        """Return whether a probing upstream with ``running`` tasks may get one now."""
+        record = self._records[upstream]
+        return running == 0 and now_ms - record.probed_ms >= self._limits.probe_gap_ms
+
+    def on_probe(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Take in that a probe was granted."""
+        self._records[upstream].probed_ms = now_ms
+
+    def on_end(
+        self, upstream: UpstreamId, service: ServiceName, key: ScopedKey, ok: bool, now_ms: float
+    ) -> None:
+        """Take in that a task of ``key`` ended on ``upstream``."""
+        record = self._records.get(upstream)
+        if record is None:
+            return
+        if not ok:
+            if key in record.failed_keys:
+                return
+            record.failed_keys[key] = None
+            if len(record.failed_keys) > self._limits.remembered_keys:
+                record.failed_keys.popitem(last=False)
+        if record.health is Health.PROBING:
+            self._on_probe_end(record, ok, now_ms)
+            return
+        window = self._limits.window
+        record.counts.setdefault(service, _Count()).add(not ok, window)
+        self._services.setdefault(service, _Count()).add(
+            not ok, window * max(1, len(self._records))
+        )
+        if not ok and record.health is Health.ACTIVE:
+            self._assess_failures(record, now_ms)
+
+    def tick(self, factors: Mapping[UpstreamId, tuple[float, float]], now_ms: float) -> None:
+        """Start probing where an ejection ended, and eject what is far slower than the median.
+
+        ``factors`` holds for each upstream its slowness and the number of samples behind it.
+        """
+        for record in self._records.values():
+            if record.health is Health.EJECTED and now_ms >= record.until_ms:
+                record.health = Health.PROBING
+                record.good_probes = 0
+        known = [factor for factor, samples in factors.values() if samples >= 1]
+        if len(known) < 3:
+            return
+        middle = median(known)
+        for name, (factor, samples) in factors.items():
+            slow = self._records.get(name)
+            if slow is None or slow.health is not Health.ACTIVE:
+                continue
+            limits = self._limits
+            if samples >= limits.min_slow_samples and factor >= limits.slow_factor * middle:
+                self._eject(slow, f"{factor / middle:.1f} times as slow as the median", now_ms)
+
+    def _assess_failures(self, record: _Record, now_ms: float) -> None:
+        total, failed, expected = self._sums(record)
+        limits = self._limits
+        rate = failed / total
+        if failed - expected >= limits.min_excess and rate >= max(
+            limits.min_failure_rate, 2 * expected / total
+        ):
+            self._eject(record, f"{failed:.0f} of {total:.0f} tasks failed", now_ms)
+
+    def _sums(self, record: _Record) -> tuple[float, float, float]:
+        """Return tasks, failures, and failures expected from the same services elsewhere."""
+        total = failed = expected = 0.0
+        for service, own in record.counts.items():
+            everywhere = self._services[service]
+            elsewhere = max(0.0, everywhere.total - own.total)
+            failed_elsewhere = max(0.0, everywhere.failed - own.failed)
+            total += own.total
+            failed += own.failed
+            expected += own.total * failed_elsewhere / (elsewhere + 3.0)
+        return total, failed, expected
+
+    def _on_probe_end(self, record: _Record, ok: bool, now_ms: float) -> None:
+        if not ok:
+            self._eject(record, "a probe failed", now_ms)
+            return
+        record.good_probes += 1
+        if record.good_probes >= self._limits.probes:
+            record.health = Health.ACTIVE
+            record.counts.clear()
+            record.failed_keys.clear()
+
+    def _eject(self, record: _Record, reason: str, now_ms: float) -> None:
+        others = sum(
+            r.health is not Health.ACTIVE for r in self._records.values() if r is not record
+        )
+        if others + 1 > int(self._eject_share * len(self._records) + 1e-9):
+            return
+        record.ejections += 1
+        record.health = Health.EJECTED
+        record.reason = reason
+        lasts_ms = min(
+            self._limits.max_eject_ms, self._limits.eject_ms * 2.0 ** (record.ejections - 1)
+        )
+        record.until_ms = now_ms + lasts_ms * self._rng.uniform(0.9, 1.1)
--- a/snipewell/placement.py
+++ b/snipewell/placement.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections import deque
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -12,37 +13,77 @@
 ZONE_DISTANCE_MS = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """When a task may be granted.
+
+    ``queue`` is the number of tasks that an entry may put on an agent beyond the slots that it
+    believes free: 0 is late binding, more is early binding. ``share_queue`` is the same for an
+    entry whose own work is below its equal share of the slots: without it, an entry that learns of
+    a free slot later than the entry whose task just ended there would never get one.
+    ``bulk_reserve`` is the share of an agent's slots that bulk jobs leave to shorter work.
+    """
+
+    queue: int = 0
+    share_queue: int = 0
+    bulk_reserve: float = 0.0
+
+
 @dataclass(slots=True)
 class AgentState:
     """An agent with this entry's own work on it.
 
     ``others`` is the part of the reported load that is not this entry's work. ``own`` counts grants
-    whose end has not been reported.
+    whose end has not been reported, ``last_grant`` is the number of the last one.
     """
 
     view: AgentView
+    distance_ms: float = 0.0
     own: int = 0
     others: int = 0
     reported_at_ms: float = 0.0
+    last_grant: int = 0
     used_cores: float = 0.0
     used_memory_mb: int = 0
     used_accelerators: int = 0
+    _sent_ms: deque[float] = field(default_factory=lambda: deque(maxlen=16))
 
     def load(self) -> int:
         """Return the tasks running or queued at the agent, as far as this entry knows."""
         return self.own + self.others
 
     def report(self, load: Load, now_ms: float) -> None:
-        """Take in the load that the agent reported."""
-        self.others = max(0, load.busy + load.queued - self.own)
+        """Take in the load that the agent reported.
+
+        Grants of the last round trip had not arrived when the agent reported; they are not
+        subtracted from what it reported.
+        """
+        horizon_ms = now_ms - 2 * self.distance_ms - 0.5
+        arrived = self.own - sum(sent > horizon_ms for sent in self._sent_ms)
+        self.others = max(0, load.busy + load.queued - max(0, arrived))
         self.reported_at_ms = now_ms
 
-    def use(self, resources: Resources, sign: int) -> None:
-        """Count one grant (``sign`` 1) or the end of one (``sign`` -1)."""
-        self.own = max(0, self.own + sign)
-        self.used_cores += sign * resources.cores
-        self.used_memory_mb += sign * resources.memory_mb
-        self.used_accelerators += sign * resources.accelerators
+    def begin(self, resources: Resources, number: int, now_ms: float) -> None:
+        """Count a grant."""
+        self.own += 1
+        self.last_grant = number
+        self._sent_ms.append(now_ms)
+        self._use(resources, 1)
+
+    def end(self, resources: Resources) -> None:
+        """Count the end of a grant."""
+        self.own -= 1
+        self._use(resources, -1)
+
+    def is_open(self, binding: Binding, homes: int, bulk: bool) -> bool:
+        """Return whether this entry, one of ``homes``, may grant another task now."""
+        slots = self.view.slots
+        if bulk:
+            slots -= int(slots * binding.bulk_reserve)
+        load = self.own + self.others
+        if load < slots + binding.queue:
+            return True
+        return self.own * homes < slots and load < slots + binding.share_queue
 
     def has_room_for(self, resources: Resources) -> bool:
         """Return whether the worker has ``resources`` beside this entry's own work on it."""
@@ -56,32 +97,56 @@
             )
         )
 
+    def _use(self, resources: Resources, sign: int) -> None:
+        self.used_cores += sign * resources.cores
+        self.used_memory_mb += sign * resources.memory_mb
+        self.used_accelerators += sign * resources.accelerators
+
 
 @dataclass(slots=True)
 class Option:
-    """An agent that may get the task now. Times in milliseconds."""
+    """An agent that may run the task, now if ``is_open``. Times are in milliseconds."""
 
     state: AgentState
-    distance_ms: float
+    is_open: bool
     expected_ms: float
-    job_on_rack: int = 0
+    failure_rate: float = 0.0
 
+    def finish_ms(self) -> float:
+        """Return the expected time until the result is here.
 
-@dataclass(frozen=True, slots=True)
-class Binding:
-    """When a task may be granted: ``queue`` tasks beyond the free slots that the view shows.
+        The wait at the agent is the share of the queue that each slot has to work off. Failing
+        upstreams are charged by the cube of their success rate, since they look fast.
+        """
+        slots = self.state.view.slots
+        ahead = max(0, self.state.load() + 1 - slots)
+        time_ms = 2 * self.state.distance_ms + self.expected_ms * (1 + ahead / slots)
+        if self.failure_rate:
+            time_ms /= max(0.05, 1 - self.failure_rate) ** 3
+        return time_ms
 
-    0 is late binding; a higher number is early binding with a queue at the agent.
-    """
 
-    queue: int = 0
+@dataclass(frozen=True, slots=True)
+class LeastInFlight:
+    """The agent with the fewest tasks for its slots, among ``sample`` random ones (0: all)."""
+
+    binding: Binding = field(default_factory=Binding)
+    sample: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class LeastInFlight:
-    """The agent with the fewest tasks for its slots."""
+class ExpectedFinish:
+    """The agent whose result is expected first, among ``sample`` random ones (0: all).
+
+    Costs within ``tolerance`` of each other are equal and chosen from at random. With ``patience``
+    above 0, a task waits instead if a faster agent is expected to free a slot soon enough that the
+    task would end sooner there by that factor.
+    """
 
     binding: Binding = field(default_factory=Binding)
+    sample: int = 16
+    tolerance: float = 0.05
+    patience: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,24 +156,52 @@
     name: str
     score: Callable[[Option], float]
     binding: Binding = field(default_factory=Binding)
+    sample: int = 0
 
 
-Policy = LeastInFlight | Scored
+Policy = LeastInFlight | ExpectedFinish | Scored
 
 
-def choose(policy: Policy, options: Sequence[Option], rng: Random) -> Option | None:
-    """Return the option that ``policy`` prefers, or None without options.
+def choose(policy: Policy, options: Sequence[Option], rng: Random, waiting: int) -> Option | None:
+    """Return the open option that ``policy`` prefers, or None to let the task wait.
 
-    Ties are broken at random, so that several entries with the same view do not choose alike.
+    ``waiting`` is the number of tasks that compete for the next free slots. Ties are broken at
+    random, so that several entries with the same view do not all choose the same agent.
     """
-    if not options:
+    open_options = [option for option in options if option.is_open]
+    if not open_options:
         return None
     match policy:
         case LeastInFlight():
-            return _lowest(((o.state.load() / o.state.view.slots, o) for o in options), rng)
+            return _lowest(open_options, lambda o: o.state.load() / o.state.view.slots, rng)
         case Scored(score=score):
-            return _lowest(((score(o), o) for o in options), rng)
-
-
-def _lowest(scored: Iterable[tuple[float, Option]], rng: Random) -> Option:
-    return min(scored, key=lambda pair: (pair[0], rng.random()))[1]
+            return _lowest(open_options, score, rng)
+        case ExpectedFinish(tolerance=tolerance, patience=patience):
+            scale = 2 * tolerance
+            best = _lowest(open_options, lambda o: o.finish_ms() * (1 + scale * rng.random()), rng)
+            if patience and _should_wait(best.finish_ms(), options, patience, waiting):
+                return None
+            return best
+
+
+def _lowest(options: Sequence[Option], score: Callable[[Option], float], rng: Random) -> Option:
+    if len(options) == 1:
+        return options[0]
+    return min(options, key=lambda option: (score(option), rng.random()))
+
+
+def _should_wait(
+    finish_ms: float, options: Sequence[Option], patience: float, waiting: int
+) -> bool:
+    """Return whether a busy faster agent is expected to give a result before ``finish_ms``."""
+    slots_per_ms = 0.0
+    weighted = 0.0
+    for option in options:
+        if option.is_open or option.failure_rate > 0.1 or option.expected_ms >= finish_ms:
+            continue
+        rate = option.state.view.slots / option.expected_ms
+        slots_per_ms += rate
+        weighted += rate * (option.expected_ms + 2 * option.state.distance_ms)
+    if not slots_per_ms:
+        return False
+    return finish_ms > patience * (weighted / slots_per_ms + waiting / slots_per_ms)
