--- a/snipewell/edge.py
+++ b/snipewell/edge.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 
 import curio
 import msgspec
@@ -26,7 +26,7 @@
     require_operator,
     run_filters,
 )
-from .ids import EntryId, Partition, RequestId, ScopedKey, digest_of, scope_key
+from .ids import EntryId, Partition, RequestId, ScopedKey, ServiceName, digest_of, scope_key
 from .log import Log
 from .message import Progress, ProgressReply, Resources, TicketRequest, Tickets
 from .metrics import Metrics
@@ -43,6 +43,7 @@
     Unknown,
     http_status,
 )
+from .peer import EntryRecord
 from .resource import ServiceSpec
 from .server import response_from_invalid
 from .settings import EntrySettings
@@ -80,7 +81,7 @@
         """Return the core's answer, or None if there was none in time or no room to wait."""
         ...
 
-    def find_service(self, name: Any) -> ServiceSpec | None:
+    def find_service(self, name: ServiceName) -> ServiceSpec | None:
         """Return a service in force."""
         ...
 
@@ -92,7 +93,7 @@
         """Return whether this entry should get new requests."""
         ...
 
-    def list_entries(self) -> list[dict[str, str]]:
+    def list_entries(self) -> list[EntryRecord]:
         """Return the registered entries."""
         ...
 
--- /dev/null
+++ b/snipewell/entry.py
@@ -0,0 +1,450 @@
+"""The entry's core: joins homes, dispatcher, membership, configuration and freshness.
+
+It does no I/O. Its owner hands it events, performs what it returns, calls ``dispatch`` after every
+batch of events and ``tick`` at least every 20 ms.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import cast
+
+from . import membership
+from .clock import Clock
+from .configuration import Configuration
+from .dispatch import Dispatcher, DispatchLimits, Grant
+from .effect import Effect, Enqueue, Note, Reply, SendAgent, SendEntry, Submission, Withdraw
+from .forward import Forwards
+from .freshness import Freshness
+from .home import HomeLimits, Homes
+from .ids import (
+    AgentId,
+    EntryId,
+    Incarnation,
+    Partition,
+    RequestId,
+    Revision,
+    ScopedKey,
+    ServiceName,
+    ZoneId,
+)
+from .membership import AgentSeen, AgentsGone, Membership, MembershipEvent
+from .message import (
+    AgentSent,
+    Answer,
+    CancelForward,
+    Forward,
+    Heartbeat,
+    Load,
+    PeerHeartbeat,
+    PeerMessage,
+    PeerReply,
+    Permit,
+    Progress,
+    ProgressReply,
+    RefusalReason,
+    Refused,
+    Result,
+    Snapshot,
+    SnapshotRequest,
+    Start,
+    TicketRequest,
+    Tickets,
+)
+from .outcome import Step, Unknown
+from .partition import PartitionTable
+from .peer import EntryRecord, Peers
+from .placement import ExpectedFinish, Policy
+from .resource import Kind, ServiceSpec, TeamSpec
+from .retry import RetryBudget
+from .settings import EntrySettings
+from .view import AgentView
+
+ENTRIES_PREFIX = "cluster/entries/"
+TABLE_KEY = "cluster/partitions"
+CANCEL_LIMIT_MS = 5_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Local:
+    """Give ``message`` to the local request that waits for it."""
+
+    message: ProgressReply | Tickets
+
+
+EntryEffect = Effect | Local
+
+
+class Entry:
+    """One entry: its own homes and the way to the homes of others."""
+
+    def __init__(
+        self,
+        record: EntryRecord,
+        incarnation: Incarnation,
+        settings: EntrySettings,
+        clock: Clock,
+        rng: Random,
+        policy: Policy | None = None,
+    ) -> None:
+        self.id = record.entry
+        self.clock = clock
+        self.configuration = Configuration()
+        self.freshness = Freshness(self.id, clock, settings.freshness_ms)
+        self.membership = Membership(clock, self.configuration.accepts)
+        self.peers = Peers(
+            record,
+            incarnation,
+            clock,
+            self.freshness,
+            self.configuration,
+            settings.peer_heartbeat_interval_ms,
+            settings.peer_silent_ms,
+        )
+        limits = HomeLimits(
+            partitions=settings.partitions, max_deadline_ms=settings.max_deadline_ms
+        )
+        self.homes = Homes.from_config(
+            self.id, record.zone, clock, rng, limits, budget=self._take_retry
+        )
+        self.dispatcher = Dispatcher(
+            clock, rng, record.zone, policy or ExpectedFinish(), DispatchLimits()
+        )
+        self.forwards = Forwards(self.id, clock)
+        self.entries: dict[EntryId, EntryRecord] = {}
+        self.config_loaded = False
+        self.table: PartitionTable | None = None
+        self._permit_ttl_ms = int(settings.permit_ttl_ms)
+        self._retries: dict[ServiceName, RetryBudget] = {}
+        self._live: frozenset[EntryId] = frozenset()
+        self._accepted: dict[AgentId, bool] = {}
+
+    def is_ready(self) -> bool:
+        """Return whether submissions can be taken: configuration and partition table are known."""
+        return self.config_loaded and self.table is not None
+
+    def on_submission(self, submission: Submission) -> list[EntryEffect]:
+        """Take a submission of a local caller; a ``Reply`` with its request id follows."""
+        home = self.homes.home_of(submission.key)
+        if home is None:
+            return [Reply(submission.request, submission.key, _no_home())]
+        if home != self.id:
+            return self._settle(self.forwards.submit(submission, home))
+        self.forwards.submit(submission, home)
+        return self._settle(self._submit(submission))
+
+    def on_cancel(self, request: RequestId, key: ScopedKey) -> list[EntryEffect]:
+        """Cancel the submission of ``key`` for a local caller; a ``Reply`` follows."""
+        home = self.homes.home_of(key)
+        if home is None:
+            return [Reply(request, key, _no_home())]
+        if home != self.id:
+            return self._settle(self.forwards.cancel(request, key, home, CANCEL_LIMIT_MS))
+        return self._settle(self.homes.cancel(request, key))
+
+    def on_caller_gone(self, request: RequestId) -> None:
+        """Forget a local caller; its submission goes on."""
+        self.forwards.drop(request)
+
+    def on_progress(self, request: RequestId, key: ScopedKey) -> list[EntryEffect]:
+        """Ask for the progress of ``key``; a ``Local`` with a ``ProgressReply`` follows."""
+        home = self.homes.home_of(key)
+        message = Progress(request, self.id, key, False)
+        if home is not None and home != self.id:
+            return [SendEntry(home, message)]
+        return [Local(self._progress(message))]
+
+    def on_tickets(self, message: TicketRequest) -> list[EntryEffect]:
+        """Issue tickets of a partition; a ``Local`` with ``Tickets`` follows."""
+        partitions = self.table.partitions if self.table is not None else ()
+        home = partitions[message.partition].home if partitions else self.id
+        if home != self.id:
+            return [SendEntry(home, message)]
+        return [Local(self._tickets(message))]
+
+    def on_agent_message(self, agent: AgentId, message: AgentSent) -> list[EntryEffect]:
+        """Take a message of an agent."""
+        if isinstance(message, Heartbeat):
+            return self._on_heartbeat(message)
+        match message:
+            case Result(key, task, state, _, _, elapsed_ms, load):
+                self.dispatcher.on_result(agent, key, task, state, elapsed_ms, load)
+            case Refused(key, task, reason, _, load):
+                self.dispatcher.on_refused(agent, key, task, reason, load)
+        return self._settle(self.homes.on_agent_message(agent, message))
+
+    def on_agent_unsent(self, agent: AgentId, message: object) -> list[EntryEffect]:
+        """Take a message that certainly did not reach the agent: its start did not happen."""
+        if not isinstance(message, Start):
+            return []
+        view = self.membership.view(agent)
+        load = view.load if view is not None else Load()
+        refused = Refused(
+            message.key, message.task, RefusalReason.BUSY, message.epoch, load, message.attempt
+        )
+        return self.on_agent_message(agent, refused)
+
+    def on_entry_message(self, sender: EntryId, message: PeerMessage) -> list[EntryEffect]:
+        """Take a message of another entry."""
+        self.peers.on_heard(sender)
+        match message:
+            case PeerHeartbeat():
+                return self._settle(self.peers.on_heartbeat(message))
+            case PeerReply():
+                return self._settle(self.peers.on_reply(message))
+            case SnapshotRequest():
+                return self._settle(self.peers.on_snapshot_request(message))
+            case Snapshot():
+                return self._on_config_changed() if self.peers.on_snapshot(message) else []
+            case Forward():
+                return self._settle(self._on_forward(message))
+            case Answer():
+                return self._settle(self.forwards.on_answer(sender, message))
+            case CancelForward(request, entry, key):
+                self.forwards.note_origin(request, entry, CANCEL_LIMIT_MS)
+                return self._settle(self.homes.cancel(request, key))
+            case Progress():
+                return [SendEntry(message.entry, self._progress(message))]
+            case TicketRequest():
+                return [SendEntry(message.entry, self._tickets(message))]
+            case ProgressReply() | Tickets():
+                return [Local(message)]
+            case _:
+                return self._settle(self.homes.on_entry_message(sender, message))
+
+    def on_entry_unsent(self, entry: EntryId, message: object) -> list[EntryEffect]:
+        """Take a message that certainly did not leave for another entry."""
+        match message:
+            case Progress(request, _, _, _):
+                return [Local(ProgressReply(request, False, 0, 0))]
+            case TicketRequest(request, _, _, _):
+                return [Local(Tickets(request, []))]
+        return self._settle(self.forwards.on_unsent(entry, cast(PeerMessage, message)))
+
+    def on_store_contact(self, sent_at_ms: float, revision: Revision) -> list[EntryEffect]:
+        """Take that the store answered a request sent at ``sent_at_ms`` at its ``revision``."""
+        self.freshness.on_store_contact(sent_at_ms)
+        self.configuration.observe_store(revision)
+        return list(self.configuration.take_notes())
+
+    def on_store_snapshot(self, snapshot: Snapshot) -> list[EntryEffect]:
+        """Take everything below ``config/`` as the store holds it now."""
+        self.config_loaded = True
+        return self._on_config_changed() if self.configuration.apply_snapshot(snapshot) else []
+
+    def on_store_config(self, changes: Iterable[tuple[str, bytes, Revision]]) -> list[EntryEffect]:
+        """Take changes below ``config/`` in the store's order; an empty value says deleted."""
+        changed = False
+        for key, value, revision in changes:
+            changed |= self.configuration.apply(key, value, revision)
+        return self._on_config_changed() if changed else []
+
+    def on_store_entries(self, entries: dict[EntryId, EntryRecord]) -> list[EntryEffect]:
+        """Take the entries that are registered now."""
+        self.entries = entries
+        self.peers.set_registered(entries)
+        return self._on_live()
+
+    def on_store_table(self, table: PartitionTable) -> list[EntryEffect]:
+        """Take the partition table that the store holds now."""
+        if self.table is not None and table.version <= self.table.version:
+            return []
+        self.table = table
+        self.peers.table_version = table.version
+        effects = self._settle(self.homes.on_table(table))
+        return effects + self._settle(self.forwards.on_homes_changed(self.homes.home_of))
+
+    def own_partitions(self) -> list[Partition]:
+        """Return the partitions of which this entry is the home."""
+        partitions = self.table.partitions if self.table is not None else ()
+        return [Partition(number) for number, p in enumerate(partitions) if p.home == self.id]
+
+    def tick(self) -> list[EntryEffect]:
+        """Handle everything that is due now."""
+        effects = self._settle(self.peers.tick())
+        effects += self._on_members(self.membership.tick())
+        effects += self._on_live()
+        effects += self._settle(self.homes.tick())
+        effects += self._settle(self.forwards.tick())
+        return effects + self.dispatch()
+
+    def dispatch(self) -> list[EntryEffect]:
+        """Grant waiting tasks to agents; call it after every batch of events."""
+        effects: list[EntryEffect] = []
+        for grant in self.dispatcher.next_grants():
+            effects += self._start(grant)
+        return effects
+
+    def drain(self) -> list[EntryEffect]:
+        """Begin to hand over all partitions."""
+        return self._settle(self.homes.drain())
+
+    def _start(self, grant: Grant) -> list[EntryEffect]:
+        start = self.homes.grant(grant.key, grant.task, grant.agent, grant.incarnation)
+        if start is None:
+            self.dispatcher.on_grant_void(grant)
+            return []
+        fields: dict[str, object] = {
+            "key": grant.key,
+            "task": grant.task,
+            "agent": grant.agent,
+            "why": grant.reason,
+        }
+        return [SendAgent(grant.agent, start), Note("place", "granted a task", fields)]
+
+    def _submit(self, submission: Submission) -> list[Effect]:
+        refusal = self.dispatcher.admit(submission)
+        if refusal is not None:
+            return self.homes.refuse(submission, refusal)
+        if submission.idempotent:
+            self._budget_of(submission.service).on_new_work(len(submission.tasks))
+        return self.homes.submit(submission, self.dispatcher.candidates(submission))
+
+    def _budget_of(self, service: ServiceName) -> RetryBudget:
+        ratio = self.configuration.settings.retry_ratio
+        budget = self._retries.setdefault(service, RetryBudget(ratio))
+        budget.set_ratio(ratio)
+        return budget
+
+    def _take_retry(self, service: ServiceName) -> bool:
+        return self._budget_of(service).take()
+
+    def _on_forward(self, forward: Forward) -> list[Effect]:
+        self.forwards.note_origin(forward.request, forward.entry, forward.deadline_ms)
+        spec = self.configuration.service(forward.service)
+        submission = Submission(
+            forward.request,
+            forward.entry,
+            forward.key,
+            forward.digest,
+            forward.service,
+            forward.team,
+            forward.tasks,
+            self.clock.now_ms() + forward.deadline_ms,
+            forward.job,
+            spec is not None and spec.idempotent,
+            forward.resources,
+        )
+        return self._submit(submission)
+
+    def _progress(self, message: Progress) -> ProgressReply:
+        found = self.homes.progress(message.key)
+        if found is None:
+            return ProgressReply(message.request, False, 0, 0)
+        return ProgressReply(message.request, True, *found)
+
+    def _tickets(self, message: TicketRequest) -> Tickets:
+        keys = self.homes.issue_tickets(message.partition, message.count)
+        return Tickets(message.request, keys)
+
+    def _on_heartbeat(self, beat: Heartbeat) -> list[EntryEffect]:
+        events = self.membership.on_heartbeat(beat)
+        effects = self._on_members(events)
+        accepted = any(isinstance(event, AgentSeen) for event in events)
+        if accepted and self.freshness.is_fresh(self.configuration.revision):
+            accepting = self.configuration.accepts(beat.zone, beat.upstream)
+            self._accepted[beat.agent] = accepting
+            effects.append(SendAgent(beat.agent, self._permit(beat.sequence, accepting)))
+        return effects
+
+    def _permit(self, sequence: int, accepting: bool) -> Permit:
+        return Permit(
+            self.id, sequence, self.configuration.revision, accepting, self._permit_ttl_ms
+        )
+
+    def _on_members(self, events: list[MembershipEvent]) -> list[EntryEffect]:
+        effects: list[EntryEffect] = []
+        for event in events:
+            match event:
+                case AgentSeen(view, joined):
+                    self.dispatcher.on_agent(_to_placement(view))
+                    if joined:
+                        fields: dict[str, object] = {"agent": view.agent, "zone": view.zone}
+                        effects.append(Note("membership", "agent joined", fields))
+                case AgentsGone(agents, reason, zone, rack):
+                    for agent, incarnation in ((a.agent, a.incarnation) for a in agents):
+                        self._accepted.pop(agent, None)
+                        self.dispatcher.on_agent_gone(agent)
+                        effects += self._settle(self.homes.on_agent_gone(agent, incarnation))
+                    names = [candidate.agent for candidate in agents]
+                    fields = {"agents": names, "why": reason, "zone": zone, "rack": rack}
+                    effects.append(Note("membership", "agents gone", fields))
+                case Note():
+                    effects.append(event)
+        return effects
+
+    def _on_config_changed(self) -> list[EntryEffect]:
+        """Let everything follow the configuration, and withdraw permits at once."""
+        configuration = self.configuration
+        self.dispatcher.on_configuration(
+            cast(Iterable[ServiceSpec], configuration.specs(Kind.SERVICE).values()),
+            cast(Iterable[TeamSpec], configuration.specs(Kind.TEAM).values()),
+            [ZoneId(name) for name in configuration.specs(Kind.ZONE)],
+            configuration.settings,
+        )
+        self.peers.hasten()
+        effects: list[EntryEffect] = list(configuration.take_notes())
+        fields: dict[str, object] = {"revision": configuration.revision}
+        effects.append(Note("zone", "configuration in force", fields))
+        for view in self.membership.agents():
+            self.dispatcher.on_agent(_to_placement(view))
+            accepting = configuration.accepts(view.zone, view.upstream)
+            if self._accepted.get(view.agent) and not accepting:
+                self._accepted[view.agent] = False
+                effects.append(SendAgent(view.agent, self._permit(0, False)))
+                gone: dict[str, object] = {"agent": view.agent, "zone": view.zone}
+                effects.append(Note("zone", "withdrew a permit", gone))
+        return effects
+
+    def _on_live(self) -> list[EntryEffect]:
+        live = self.peers.live()
+        if frozenset(live) == self._live:
+            return []
+        self._live = frozenset(live)
+        self.forwards.entries = self._live
+        self.dispatcher.on_homes(len(live))
+        fields: dict[str, object] = {"live": sorted(live)}
+        return [
+            Note("membership", "live entries", fields),
+            *self._settle(self.homes.on_entries(live)),
+        ]
+
+    def _settle(self, effects: list[Effect]) -> list[EntryEffect]:
+        """Carry out what concerns the dispatcher, and send answers the way their requests came."""
+        left: list[EntryEffect] = []
+        for effect in effects:
+            match effect:
+                case Enqueue(tasks):
+                    self.dispatcher.enqueue(tasks)
+                case Withdraw(key):
+                    self.dispatcher.withdraw(key)
+                case Reply():
+                    left.append(self.forwards.route(effect))
+                case _:
+                    left.append(effect)
+        return left
+
+
+def _to_placement(view: membership.AgentView) -> AgentView:
+    """Return what placement needs to know of a member."""
+    return AgentView(
+        view.agent,
+        view.incarnation,
+        view.upstream,
+        view.zone,
+        view.rack,
+        view.slots,
+        view.worker,
+        frozenset(view.services),
+        view.draining,
+        view.load,
+        view.in_service,
+        view.last_seen_ms,
+    )
+
+
+def _no_home() -> Unknown:
+    reason = "the partition table is not known yet"
+    return Unknown(Step.FORWARD, "", reason, attempt_started=False)
--- /dev/null
+++ b/snipewell/entryd.py
@@ -0,0 +1,403 @@
+"""The entry's daemon: curio tasks that connect its core to sockets, store and callers.
+
+One task owns the core and all its state. Every other task puts events into its inbox.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+import curio
+import zmq
+
+from .client import HttpPool
+from .clock import Clock, SystemClock
+from .edge import Answered, CancelKey, Edge, Question
+from .effect import Note, ProposeTable, Reply, SendAgent, SendEntry, Submission
+from .entry import Entry, EntryEffect, Local
+from .ids import (
+    AgentId,
+    EntryId,
+    Partition,
+    RequestId,
+    Revision,
+    ServiceName,
+    ZoneId,
+    new_incarnation,
+)
+from .log import Log
+from .message import (
+    AnyMessage,
+    Collected,
+    Heartbeat,
+    Message,
+    Progress,
+    QueryReply,
+    Refused,
+    Result,
+    TicketRequest,
+)
+from .metrics import Metrics
+from .outcome import Invalid, Step
+from .peer import EntryRecord
+from .registry import Registry
+from .resource import ServiceSpec
+from .resources import Counts, Resources
+from .server import HttpServer, ServerLimits
+from .settings import EntrySettings, HttpSettings, read_token
+from .store import Store
+from .transport import Dealers, Router, agent_identity, parse_agent_identity
+from .web import Request, Response
+
+TICK_S = 0.02
+_BATCH = 256
+_FLUSH_S = 0.1
+
+Event = tuple[Callable[..., Iterable[EntryEffect] | None], tuple[Any, ...]]
+
+
+class Inbox:
+    """Events for the task that owns the core, in order of arrival."""
+
+    def __init__(self) -> None:
+        self._events: deque[Event] = deque()
+        self._wake = curio.Event()
+
+    async def put(self, method: Callable[..., Any], *args: Any) -> None:
+        """Add an event and wake the owner."""
+        self._events.append((method, args))
+        if not self._wake.is_set():
+            await self._wake.set()
+
+    def append(self, method: Callable[..., Any], *args: Any) -> None:
+        """Add an event without waking the owner, which sees it at its next tick."""
+        self._events.append((method, args))
+
+    async def take(self) -> list[Event]:
+        """Wait for events and return a batch of them."""
+        while not self._events:
+            self._wake.clear()
+            await self._wake.wait()
+        return [self._events.popleft() for _ in range(min(len(self._events), _BATCH))]
+
+
+class _Waiter:
+    """A local request that waits for the core's answer."""
+
+    __slots__ = ("answer", "event")
+
+    def __init__(self) -> None:
+        self.event = curio.Event()
+        self.answer: Answered | None = None
+
+
+class EntryDaemon:
+    """One entry with its sockets, within a running curio kernel.
+
+    ``start`` returns once the HTTP and message ports are bound. ``drain`` ends it gracefully,
+    ``kill`` at once.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, clock: Clock | None = None, log: Log | None = None
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.incarnation = new_incarnation()
+        self.id = EntryId(f"{settings.name}.{self.incarnation}")
+        self.log = log or Log.from_config(settings.log, entry=self.id)
+        self.metrics = Metrics()
+        self.draining = False
+        self.http_address = ""
+        self._rng = Random()
+        self._token = (
+            read_token(settings.operator_token_file) if (settings.operator_token_file) else None
+        )
+        self._inbox = Inbox()
+        self._waiters: dict[RequestId, _Waiter] = {}
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._tasks = curio.TaskGroup()
+        self._server = HttpServer(self._handle, _limits_of(settings.http), self._on_http_error)
+        self._pool = HttpPool(settings.store, 8, step=Step.STORE)
+        self.store = Store(self._pool, settings.store, self.clock, settings.store_timeout_ms)
+
+    async def start(self) -> None:
+        """Bind the ports and start all tasks; raise OSError or zmq.ZMQError if a port is in use."""
+        settings = self.settings
+        await self._server.start(settings.host, settings.http_port)
+        self.http_address = "{}:{}".format(*self._server.address)
+        address = f"{settings.host}:{settings.message_port}"
+        try:
+            self._router = Router(
+                self._context, self.id, address, self._deliver, self._on_undelivered
+            )
+        except zmq.ZMQError:
+            await self._server.stop(0)
+            raise
+        self._dealers = Dealers(self._context, self.id, self._deliver, self._on_undelivered)
+        record = EntryRecord(
+            self.id, ZoneId(settings.zone), self.http_address, self._router.address
+        )
+        self.core = Entry(record, self.incarnation, settings, self.clock, self._rng)
+        self._resources = Resources(
+            self.store,
+            self.core.configuration,
+            self.clock,
+            self._rng,
+            self._wait_in_force,
+            self._count_at,
+            self._token,
+        )
+        self._edge = Edge(
+            self.id,
+            settings,
+            self._token,
+            self,
+            self.clock,
+            self._rng,
+            self.metrics,
+            self.log,
+            self._resources.handle,
+        )
+        self._registry = Registry(
+            self.store, record, settings, self.core, self._inbox.put, self.log, self._rng
+        )
+        self._add_gauges()
+        await self._router.start()
+        for task in (self._own, self._tick, *self._registry.tasks()):
+            await self._tasks.spawn(task)
+        self.log.info("edge", "entry started", http=self.http_address)
+
+    async def drain(self, limit_ms: float | None = None) -> int:
+        """Finish requests, hand over partitions and end; return how many requests were cut off."""
+        limit_ms = self.settings.drain_limit_ms if limit_ms is None else limit_ms
+        end_ms = self.clock.now_ms() + limit_ms
+        self.draining = True
+        self.log.info("edge", "draining", limit_ms=limit_ms)
+        await curio.sleep(min(self.settings.drain_settle_ms, limit_ms) / 1000)
+        await self._inbox.put(self.core.drain)
+        cut = await self._server.stop(max(0.0, end_ms - self.clock.now_ms()))
+        while not self.core.homes.drained() and self.clock.now_ms() < end_ms:
+            await curio.sleep(TICK_S)
+        handed_over = self.core.homes.drained()
+        await self._registry.withdraw()
+        await curio.sleep(_FLUSH_S)
+        await self.kill()
+        self.log.info("edge", "stopped", cut_requests=cut, handed_over=handed_over)
+        return cut if handed_over else max(cut, 1)
+
+    async def kill(self) -> None:
+        """End at once, without a word to callers, peers or the store."""
+        await self._tasks.cancel_remaining()
+        await self._server.stop(0)
+        await self._dealers.close()
+        await self._router.close()
+        await self._pool.close()
+        self._context.destroy(linger=0)
+
+    # What the edge asks.
+
+    async def ask(self, question: Question, timeout_ms: float) -> Answered | None:
+        """Put a caller's question to the core and return its answer, None if it takes too long."""
+        if len(self._waiters) >= self.settings.waiting_requests:
+            return Invalid(503, "too many requests wait; this attempt was not accepted")
+        waiter = _Waiter()
+        self._waiters[question.request] = waiter
+        try:
+            match question:
+                case Submission():
+                    await self._inbox.put(self.core.on_submission, question)
+                case CancelKey(request, key):
+                    await self._inbox.put(self.core.on_cancel, request, key)
+                case Progress(request, _, key):
+                    await self._inbox.put(self.core.on_progress, request, key)
+                case TicketRequest():
+                    await self._inbox.put(self.core.on_tickets, question)
+            await curio.timeout_after(timeout_ms / 1000, waiter.event.wait)
+        except curio.TaskTimeout:
+            return None
+        finally:
+            del self._waiters[question.request]
+            if waiter.answer is None:
+                self._inbox.append(self.core.on_caller_gone, question.request)
+        return waiter.answer
+
+    def find_service(self, name: ServiceName) -> ServiceSpec | None:
+        """Return a service in force."""
+        return self.core.configuration.service(name)
+
+    def is_loaded(self) -> bool:
+        """Return whether the configuration has been loaded."""
+        return self.core.config_loaded
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send new connections here."""
+        return self.core.is_ready() and not self.draining
+
+    def list_entries(self) -> list[EntryRecord]:
+        """Return the registered entries, this one first."""
+        records = self.core.entries
+        return sorted(records.values(), key=lambda record: (record.entry != self.id, record.entry))
+
+    def ticket_partition(self) -> Partition | None:
+        """Return a partition at random, of those whose home is this entry if there are any."""
+        partitions = self.core.own_partitions()
+        if not partitions:
+            return Partition(self._rng.randrange(self.settings.partitions))
+        return self._rng.choice(partitions)
+
+    # The task that owns the core.
+
+    async def _own(self) -> None:
+        while True:
+            effects: list[EntryEffect] = []
+            for method, args in await self._inbox.take():
+                effects += method(*args) or ()
+            effects += self.core.dispatch()
+            for effect in effects:
+                await self._perform(effect)
+
+    async def _tick(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            await self._inbox.put(self.core.tick)
+            await self._sync_links()
+
+    async def _perform(self, effect: EntryEffect) -> None:
+        match effect:
+            case SendAgent(agent, message):
+                view = self.core.membership.view(agent)
+                identity = agent_identity(agent, view.incarnation) if view is not None else ""
+                if not identity or not await self._router.send(identity, message):
+                    self._inbox.append(self.core.on_agent_unsent, agent, message)
+            case SendEntry(entry, message):
+                if entry == self.id:
+                    await self._inbox.put(self.core.on_entry_message, entry, message)
+                elif not await self._dealers.send(entry, message):
+                    self._inbox.append(self.core.on_entry_unsent, entry, message)
+            case Reply(request, _, outcome):
+                await self._answer(request, outcome)
+            case Local(message):
+                await self._answer(message.request, message)
+            case Note(part, text, fields):
+                write = self.log.error if text.startswith("ALARM") else self.log.info
+                write(part, text, **fields)
+            case ProposeTable():
+                await self._registry.propose(effect)
+
+    async def _answer(self, request: RequestId, answer: Answered) -> None:
+        waiter = self._waiters.get(request)
+        if waiter is not None and waiter.answer is None:
+            waiter.answer = answer
+            await waiter.event.set()
+
+    async def _sync_links(self) -> None:
+        """Keep one connection to each peer entry, and replace those that went silent."""
+        wanted = {e: r.message_address for e, r in self.core.entries.items() if e != self.id}
+        known = self._dealers.peers()
+        for entry, address in wanted.items():
+            if known.get(entry) != address:
+                await self._dealers.connect(entry, address)
+        live = self.core.peers.live()
+        for gone in known.keys() - live.keys():
+            await self._dealers.disconnect(gone)
+        for peer in self.core.peers.silent():
+            self.log.info("membership", "replacing a silent connection", peer=peer)
+            await self._dealers.replace(peer)
+
+    # Callbacks of the sockets.
+
+    async def _deliver(self, peer: str, message: AnyMessage) -> None:
+        life = parse_agent_identity(peer)
+        from_agent = isinstance(message, Heartbeat | Refused | Result | QueryReply | Collected)
+        if (life is not None) != from_agent:
+            self.metrics.count("misdirected_messages")
+        elif life is None:
+            await self._inbox.put(self.core.on_entry_message, EntryId(peer), message)
+        elif isinstance(message, Heartbeat) and (message.agent, message.incarnation) != life:
+            self.metrics.count("misdirected_messages")
+        else:
+            await self._inbox.put(self.core.on_agent_message, life[0], message)
+
+    def _on_undelivered(self, peer: str, message: Message) -> None:
+        life = parse_agent_identity(peer)
+        if life is None:
+            self._inbox.append(self.core.on_entry_unsent, EntryId(peer), message)
+        else:
+            self._inbox.append(self.core.on_agent_unsent, AgentId(life[0]), message)
+
+    async def _handle(self, request: Request) -> Response:
+        return await self._edge.handle(request)
+
+    async def _wait_in_force(self, revision: Revision, wait_ms: float) -> bool:
+        """Wait until a majority of the entries has ``revision``, for at most ``wait_ms``."""
+        end_ms = self.clock.now_ms() + wait_ms
+        while True:
+            counts = self._count_at(revision)
+            if counts.entries_at_revision >= self.core.freshness.majority():
+                return True
+            if self.clock.now_ms() >= end_ms:
+                return False
+            await curio.sleep(TICK_S)
+
+    def _count_at(self, revision: Revision) -> Counts:
+        core = self.core
+        return Counts(
+            core.freshness.entries_at(revision, core.configuration.revision),
+            len(core.entries),
+            core.membership.agents_at(revision),
+            len(core.membership),
+        )
+
+    def _on_http_error(self, what: str, error: BaseException) -> None:
+        self.metrics.count("internal_errors")
+        self.log.error("edge", "a handler failed", request=what, error=repr(error))
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("waiting_requests", lambda: len(self._waiters))
+        gauge("connections", lambda: self._server.connection_count)
+        gauge("agents", lambda: len(self.core.membership))
+        gauge("entries", lambda: len(self.core.entries))
+        gauge("waiting_tasks", lambda: self.core.dispatcher.waiting())
+        gauge("running_tasks", lambda: self.core.dispatcher.running())
+        gauge("revision", lambda: self.core.configuration.revision)
+        gauge("store_age_ms", self.core.freshness.store_age_ms)
+
+
+def _limits_of(http: HttpSettings) -> ServerLimits:
+    return ServerLimits(
+        http.connections,
+        http.header_bytes,
+        http.body_bytes,
+        http.head_timeout_ms,
+        http.body_timeout_ms,
+        http.idle_timeout_ms,
+        http.write_timeout_ms,
+    )
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until SIGTERM or SIGINT, and return the exit status.
+
+    The first signal starts a graceful stop; a second one ends it at once. The status is 1 if a
+    request was cut off or a partition could not be handed over, and the log says which.
+    """
+    daemon = EntryDaemon(settings)
+    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        await daemon.start()
+        await signals.get()
+        draining = await curio.spawn(daemon.drain)
+        second = await curio.spawn(signals.get)
+        async with curio.TaskGroup([draining, second], wait=any) as group:
+            await group.join()
+        if group.completed is draining:
+            return 1 if draining.result else 0
+        waiting = len(daemon._waiters)
+        daemon.log.error("edge", "stopped by a second signal", cut_requests=waiting)
+        await daemon.kill()
+        return 1
--- a/snipewell/forward.py
+++ b/snipewell/forward.py
@@ -1,53 +1,59 @@
-"""Requests that wait at this entry for another entry, and requests that others forwarded here.
+"""Requests of this entry's callers that wait for a home, and requests that others forwarded here.
 
 An answer is matched by request id and key, so a late or crossed answer reaches nobody else.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from .clock import Clock
 from .effect import Effect, Note, Reply, SendEntry, Submission
 from .ids import EntryId, RequestId, ScopedKey
 from .message import Answer, CancelForward, Forward, PeerMessage
-from .outcome import Step, Unknown
+from .outcome import Outcome, Step, Unknown
 
 HomeOf = Callable[[ScopedKey], EntryId | None]
 
 GRACE_MS = 500.0
 """A home answers at the deadline; this leaves the answer time to travel."""
+MAX_SENDS = 4
+"""Homes may change while a request waits, but a request must not circle between them."""
+ORIGIN_KEPT_MS = 60_000.0
+"""A home that stepped down lets its successor answer; its note of the origin goes after this."""
 
 
 @dataclass(slots=True)
 class _Waiting:
-    """One request that this entry sent to ``home``; ``submission`` is None for a cancel."""
+    """One local request that waits for ``home``; ``submission`` is None for a cancel."""
 
     key: ScopedKey
     home: EntryId
     give_up_at_ms: float
     submission: Submission | None
-    sent_before: bool = False
+    sends: int = 1
 
 
 class Forwards:
-    """The requests of this entry's callers whose home is another entry."""
+    """The waiting requests of local callers, and the origins of forwarded ones."""
 
     def __init__(self, entry: EntryId, clock: Clock) -> None:
         self._entry = entry
         self._clock = clock
         self._waiting: dict[RequestId, _Waiting] = {}
-        self._origins: dict[RequestId, EntryId] = {}
+        self._origins: dict[RequestId, tuple[EntryId, float]] = {}
+        self.entries: Collection[EntryId] = frozenset()
 
     def __len__(self) -> int:
         return len(self._waiting)
 
     def submit(self, submission: Submission, home: EntryId) -> list[Effect]:
-        """Send ``submission`` to its home."""
-        waiting = _Waiting(submission.key, home, submission.deadline_at_ms + GRACE_MS, submission)
+        """Wait for the answer to a local submission, and send it if its home is another entry."""
+        give_up_at_ms = submission.deadline_at_ms + GRACE_MS
+        waiting = _Waiting(submission.key, home, give_up_at_ms, submission)
         self._waiting[submission.request] = waiting
-        return [SendEntry(home, self._forward(submission))]
+        return [] if home == self._entry else [SendEntry(home, self._forward(submission))]
 
     def cancel(
         self, request: RequestId, key: ScopedKey, home: EntryId, limit_ms: float
@@ -68,7 +74,8 @@
         if waiting is None or waiting.home != home:
             return []
         del self._waiting[message.request]
-        started = waiting.sent_before or waiting.submission is None
+        # Without an earlier send, nothing of this attempt has reached any home.
+        started = waiting.sends > 1 or waiting.submission is None
         outcome = Unknown(Step.FORWARD, home, "the home entry cannot be reached", started)
         return [Reply(message.request, waiting.key, outcome)]
 
@@ -77,32 +84,23 @@
         waiting = self._waiting.get(answer.request)
         if waiting is None or waiting.key != answer.key:
             fields: dict[str, object] = {"request": answer.request, "home": sender}
-            return [Note("forward", "dropped an answer that nobody waits for", fields)]
+            return [Note("edge", "dropped an answer that nobody waits for", fields)]
         if waiting.home != sender and isinstance(answer.outcome, Unknown):
             # The former home stepped down; the present one will answer.
             return []
-        del self._waiting[answer.request]
-        return [Reply(answer.request, waiting.key, answer.outcome)]
+        return [self._finish(answer.request, waiting, answer.outcome)]
 
-    def on_homes_changed(self, home_of: HomeOf) -> tuple[list[Effect], list[Submission]]:
-        """Send the requests of keys whose home changed to the new home.
+    def on_homes_changed(self, home_of: HomeOf) -> list[Effect]:
+        """Send the requests of keys whose home changed to the new home, perhaps this entry.
 
-        The new home joins them to the run that it recovered. Returns the effects, and the
-        submissions whose home is now this entry.
+        The new home joins them to the run that it recovered.
         """
         effects: list[Effect] = []
-        own: list[Submission] = []
-        for request, waiting in list(self._waiting.items()):
+        for waiting in self._waiting.values():
             home = home_of(waiting.key)
-            if home is None or home == waiting.home or waiting.submission is None:
-                continue
-            if home == self._entry:
-                del self._waiting[request]
-                own.append(waiting.submission)
-                continue
-            waiting.home, waiting.sent_before = home, True
-            effects.append(SendEntry(home, self._forward(waiting.submission)))
-        return effects, own
+            if home is not None and home != waiting.home and waiting.submission is not None:
+                effects.append(self._resend(waiting, waiting.submission, home))
+        return effects
 
     def tick(self) -> list[Effect]:
         """Answer the callers whose home stayed silent."""
@@ -113,18 +111,48 @@
             waiting = self._waiting.pop(request)
             outcome = Unknown(Step.FORWARD, waiting.home, "the home entry did not answer in time")
             effects.append(Reply(request, waiting.key, outcome))
+        for request, (_, until_ms) in list(self._origins.items()):
+            if now < until_ms:
+                break
+            del self._origins[request]
         return effects
 
-    def note_origin(self, request: RequestId, entry: EntryId) -> None:
-        """Remember that ``entry`` has the caller of ``request``, which it forwarded here."""
-        self._origins[request] = entry
+    def note_origin(self, request: RequestId, entry: EntryId, within_ms: float) -> None:
+        """Remember that ``entry`` has the caller of ``request``, due ``within_ms``."""
+        until_ms = self._clock.now_ms() + within_ms + ORIGIN_KEPT_MS
+        self._origins[request] = (entry, until_ms)
 
     def route(self, reply: Reply) -> Reply | SendEntry:
-        """Return the way of ``reply`` to its caller: here, or at the entry that forwarded it."""
+        """Return the way of ``reply`` to its caller: here, or at the entry that forwarded it.
+
+        A local request that its home passed on to another entry is sent there instead.
+        """
         origin = self._origins.pop(reply.request, None)
-        if origin is None:
+        if origin is not None:
+            return SendEntry(origin[0], Answer(reply.request, reply.key, reply.outcome))
+        waiting = self._waiting.get(reply.request)
+        if waiting is None or waiting.key != reply.key:
             return reply
-        return SendEntry(origin, Answer(reply.request, reply.key, reply.outcome))
+        return self._finish(reply.request, waiting, reply.outcome)
+
+    def _finish(self, request: RequestId, waiting: _Waiting, outcome: Outcome) -> Reply | SendEntry:
+        """Answer a local request, or send it on if the home named its successor."""
+        if (
+            isinstance(outcome, Unknown)
+            and outcome.step in (Step.FORWARD, Step.RECOVERY)
+            and outcome.peer != waiting.home
+            and outcome.peer in self.entries
+            and waiting.submission is not None
+            and waiting.sends < MAX_SENDS
+        ):
+            return self._resend(waiting, waiting.submission, EntryId(outcome.peer))
+        del self._waiting[request]
+        return Reply(request, waiting.key, outcome)
+
+    def _resend(self, waiting: _Waiting, submission: Submission, home: EntryId) -> SendEntry:
+        waiting.home = home
+        waiting.sends += 1
+        return SendEntry(home, self._forward(submission))
 
     def _forward(self, submission: Submission) -> Forward:
         return Forward(
--- a/snipewell/peer.py
+++ b/snipewell/peer.py
@@ -132,6 +132,10 @@
         """Apply another entry's configuration; return whether it was newer."""
         return self._configuration.apply_snapshot(snapshot)
 
+    def hasten(self) -> None:
+        """Make the next heartbeat due now, because there is something new to tell."""
+        self._next_ms = self._clock.now_ms()
+
     def tick(self) -> list[Effect]:
         """Send heartbeats when they are due."""
         now = self._clock.now_ms()
--- /dev/null
+++ b/snipewell/registry.py
@@ -0,0 +1,171 @@
+"""An entry's dealings with the store: registration under a lease, watches, the partition table."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import curio
+import msgspec
+
+from .effect import ProposeTable
+from .entry import ENTRIES_PREFIX, TABLE_KEY, Entry
+from .group import CONFIG_PREFIX
+from .ids import EntryId, Revision
+from .log import Log
+from .outcome import SnipewellError
+from .partition import PartitionTable
+from .peer import EntryRecord
+from .settings import EntrySettings
+from .store import Changes, Follower, Listing, Store, StoreError
+
+CLUSTER_PREFIX = "cluster/"
+_RETRY_MS = (50.0, 150.0)
+
+
+class Registry:
+    """Four tasks: one for each watch, one for the registration, one that writes the table.
+
+    ``put`` hands an event to the task that owns ``core``.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        record: EntryRecord,
+        settings: EntrySettings,
+        core: Entry,
+        put: Callable[..., Awaitable[None]],
+        log: Log,
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._record = record
+        self._settings = settings
+        self._core = core
+        self._put = put
+        self._log = log
+        self._rng = rng
+        self._key = ENTRIES_PREFIX + record.entry
+        self._entries: dict[EntryId, EntryRecord] = {}
+        self._proposal: ProposeTable | None = None
+        self._proposed = curio.Event()
+        self._withdrawn = False
+
+    def tasks(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the tasks to run for the life of the entry."""
+        return [self._follow_config, self._follow_cluster, self._register, self._write_table]
+
+    async def propose(self, proposal: ProposeTable) -> None:
+        """Write a table as soon as possible; a newer proposal replaces one that waits."""
+        self._proposal = proposal
+        await self._proposed.set()
+
+    async def withdraw(self) -> None:
+        """Remove the registration, so that nobody waits for the lease to lapse."""
+        self._withdrawn = True
+        try:
+            current = await self._store.get(self._key)
+            if current is not None:
+                await self._store.delete(self._key, current.revision)
+        except SnipewellError as error:
+            self._log.info("store", "the registration lapses by itself", why=str(error))
+
+    async def _follow_config(self) -> None:
+        follower = Follower(self._store, CONFIG_PREFIX)
+        core = self._core
+        while True:
+            answer = await self._next(follower)
+            if answer is None:
+                continue
+            if isinstance(answer, Listing):
+                await self._put(core.on_store_snapshot, answer.to_snapshot())
+            elif answer.changes:
+                changes = [(c.key, c.value, c.revision) for c in answer.changes]
+                await self._put(core.on_store_config, changes)
+            # Only this watch proves that no change of the configuration is missing here.
+            await self._put(core.on_store_contact, answer.sent_at_ms, answer.revision)
+
+    async def _follow_cluster(self) -> None:
+        follower = Follower(self._store, CLUSTER_PREFIX)
+        while True:
+            answer = await self._next(follower)
+            if isinstance(answer, Listing):
+                self._entries = {}
+                for key, value in answer.values.items():
+                    await self._take(key, value.value, value.revision)
+            elif answer is not None and answer.changes:
+                for change in answer.changes:
+                    await self._take(change.key, change.value, change.revision)
+            else:
+                continue
+            await self._put(self._core.on_store_entries, dict(self._entries))
+
+    async def _next(self, follower: Follower) -> Listing | Changes | None:
+        try:
+            return await follower.next(self._settings.store_wait_ms)
+        except SnipewellError as error:
+            self._log.debug("store", "no answer", why=str(error))
+            await self._pause()
+            return None
+
+    async def _take(self, key: str, value: bytes, revision: Revision) -> None:
+        """Take one value under ``cluster/``; an unreadable one is reported and skipped."""
+        try:
+            if key == TABLE_KEY and value:
+                table = PartitionTable.from_json(value, revision)
+                await self._put(self._core.on_store_table, table)
+            elif key.startswith(ENTRIES_PREFIX):
+                entry = EntryId(key.removeprefix(ENTRIES_PREFIX))
+                if value:
+                    self._entries[entry] = msgspec.json.decode(value, type=EntryRecord)
+                else:
+                    self._entries.pop(entry, None)
+        except (ValueError, msgspec.MsgspecError) as error:
+            self._log.error("store", "an unreadable value", key=key, why=str(error))
+
+    async def _register(self) -> None:
+        """Keep the registration under a lease; a lease that lapsed is replaced by a new one."""
+        lease = ""
+        while not self._withdrawn:
+            try:
+                if not lease:
+                    lease = await self._store.lease(int(self._settings.lease_ms))
+                    await self._write_record(lease)
+                    self._log.info("store", "registered", lease=lease)
+                elif not await self._store.renew(lease):
+                    self._log.error("store", "the lease has lapsed", lease=lease)
+                    lease = ""
+                    continue
+            except SnipewellError as error:
+                self._log.info("store", "registration failed", why=str(error))
+                await self._pause()
+                continue
+            await curio.sleep(self._settings.lease_renew_ms / 1000)
+
+    async def _write_record(self, lease: str) -> None:
+        current = await self._store.get(self._key)
+        revision = current.revision if current is not None else 0
+        value = msgspec.json.encode(self._record)
+        await self._store.compare_and_swap(self._key, value, revision, lease)
+
+    async def _write_table(self) -> None:
+        while True:
+            await self._proposed.wait()
+            self._proposed.clear()
+            proposal, self._proposal = self._proposal, None
+            if proposal is None:
+                continue
+            base, table = proposal.base_version, proposal.table
+            try:
+                version = await self._store.compare_and_swap(TABLE_KEY, table.to_json(), base)
+            except StoreError as error:
+                # The watch brings the table that another entry wrote; the home proposes again.
+                self._log.info("store", "the partition table was not written", why=str(error))
+                continue
+            written = PartitionTable(version, table.partitions)
+            self._log.info("store", "wrote the partition table", version=version)
+            await self._put(self._core.on_store_table, written)
+
+    async def _pause(self) -> None:
+        await curio.sleep(self._rng.uniform(*_RETRY_MS) / 1000)
--- a/snipewell/settings.py
+++ b/snipewell/settings.py
@@ -87,7 +87,7 @@
     lease_renew_ms: PositiveMs = 1_500
     store_wait_ms: PositiveMs = 250
     store_timeout_ms: PositiveMs = 1_000
-    max_deadline_ms: Count = 3_600_000
+    max_deadline_ms: Count = 600_000
     key_bytes: Count = 256
     waiting_requests: Count = 20_000
     drain_settle_ms: Annotated[float, msgspec.Meta(ge=0, le=600_000)] = 1_000
--- /dev/null
+++ b/snipewell/standins/cluster.py
@@ -0,0 +1,130 @@
+"""A whole system on loopback in one curio kernel, for tests, demo and bench.
+
+It runs entries as they are, and the stand-ins of store and balancer, each on a free port.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import curio
+import msgspec
+
+from ..client import HttpPool
+from ..entryd import EntryDaemon
+from ..log import Log
+from ..outcome import Step
+from ..settings import BalancerSettings, EntrySettings, LogSettings, StoreSettings
+from ..web import Request, Response
+from .balancer import Balancer
+from .store import StoreServer, StoreStandIn
+
+HOST = "127.0.0.1"
+_READY_LIMIT_S = 20.0
+
+
+class Cluster:
+    """Store, entries and balancer.
+
+    For example ``cluster = Cluster([entry_settings("e1", "patan")])``, then ``await
+    cluster.start()`` and ``await cluster.request(Request("GET", "/readyz"))``. The address of the
+    store in the entries' settings is filled in on start.
+    """
+
+    def __init__(
+        self,
+        entries: Sequence[EntrySettings],
+        store: StoreSettings | None = None,
+        log: Callable[[str], Log] | None = None,
+    ) -> None:
+        self._entry_settings = {settings.name: settings for settings in entries}
+        self._new_log = log or (lambda name: Log())
+        settings = store or StoreSettings(host=HOST, port=0)
+        self.store = StoreStandIn(settings=settings)
+        self._store_server = StoreServer(self.store, settings.host, settings.port)
+        self._store_task: curio.Task | None = None
+        self.entries: dict[str, EntryDaemon] = {}
+        self.balancer = Balancer(BalancerSettings(host=HOST, port=0, check_interval_ms=50))
+        self._pool: HttpPool | None = None
+
+    async def start(self) -> None:
+        """Start everything; return when the balancer sends connections to every entry.
+
+        Raises TimeoutError if an entry does not become ready.
+        """
+        await self._store_server.start()
+        self._store_task = await curio.spawn(self._store_server.run)
+        for name in self._entry_settings:
+            await self.start_entry(name)
+        await self.balancer.start()
+        self._pool = HttpPool(self.balancer.address, 500, step=Step.EDGE)
+        await self.wait_until(lambda: len(self.balancer.ready) == len(self.entries), "entries")
+
+    async def stop(self, grace_ms: float = 10_000) -> int:
+        """Stop everything, the entries gracefully; return how many requests were cut off."""
+        cut = 0
+        for name in list(self.entries):
+            cut += await self.stop_entry(name, grace_ms)
+        await self.balancer.stop()
+        if self._pool is not None:
+            await self._pool.close()
+        if self._store_task is not None:
+            await self._store_task.cancel()
+        return cut
+
+    async def start_entry(self, name: str) -> EntryDaemon:
+        """Start an entry by its settings' name, also again after it was stopped or killed."""
+        host, port = self._store_server.address
+        settings = msgspec.structs.replace(self._entry_settings[name], store=f"{host}:{port}")
+        daemon = EntryDaemon(settings, log=self._new_log(name))
+        await daemon.start()
+        self.entries[name] = daemon
+        self._tell_balancer()
+        return daemon
+
+    async def stop_entry(self, name: str, grace_ms: float = 10_000) -> int:
+        """Stop an entry gracefully; return how many requests were cut off."""
+        cut = await self.entries[name].drain(grace_ms)
+        del self.entries[name]
+        self._tell_balancer()
+        return cut
+
+    async def kill_entry(self, name: str) -> None:
+        """End an entry without a word to anyone, as a crash does."""
+        await self.entries.pop(name).kill()
+
+    async def request(self, request: Request, timeout_ms: float = 30_000) -> Response:
+        """Send one request through the balancer; raise NotSentError or ExchangeError."""
+        assert self._pool is not None
+        return await self._pool.request(request, timeout_ms)
+
+    async def put(self, kind: str, name: str, spec: dict[str, object]) -> Response:
+        """Write a resource as an operator and return the answer, 200 once it is in force."""
+        body = msgspec.json.encode({"spec": spec})
+        return await self.request(Request("PUT", f"/v1/{kind}/{name}", body=body))
+
+    async def wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until ``condition`` holds; raise TimeoutError naming ``what`` after 20 s."""
+        for _ in range(int(_READY_LIMIT_S / 0.01)):
+            if condition():
+                return
+            await curio.sleep(0.01)
+        raise TimeoutError(f"not ready after {_READY_LIMIT_S:g} s: {what}")
+
+    def _tell_balancer(self) -> None:
+        self.balancer.set_entries([daemon.http_address for daemon in self.entries.values()])
+
+
+def entry_settings(name: str, zone: str, **changes: object) -> EntrySettings:
+    """Return settings of an entry on free loopback ports; ``changes`` replace single fields."""
+    settings = EntrySettings(
+        name=name,
+        zone=zone,
+        host=HOST,
+        store=f"{HOST}:1",
+        http_port=0,
+        message_port=0,
+        drain_settle_ms=100,
+        log=LogSettings(level="off"),
+    )
+    return msgspec.structs.replace(settings, **changes)
