--- a/snipewell/entry.py
+++ b/snipewell/entry.py
@@ -27,9 +27,9 @@
     RequestId,
     Revision,
     ScopedKey,
-    ServiceName,
     ZoneId,
 )
+from .issuer import PermitIssuer
 from .membership import AgentSeen, AgentsGone, Membership, MembershipEvent
 from .message import (
     AgentSent,
@@ -41,7 +41,6 @@
     PeerHeartbeat,
     PeerMessage,
     PeerReply,
-    Permit,
     Progress,
     ProgressReply,
     RefusalReason,
@@ -58,13 +57,13 @@
 from .peer import EntryRecord, Peers
 from .placement import ExpectedFinish, Policy
 from .resource import Kind, ServiceSpec, TeamSpec
-from .retry import RetryBudget
+from .retry import RetryBudgets
 from .settings import EntrySettings
 from .view import AgentView
 
 ENTRIES_PREFIX = "cluster/entries/"
 TABLE_KEY = "cluster/partitions"
-CANCEL_LIMIT_MS = 5_000.0
+QUESTION_LIMIT_MS = 5_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +93,9 @@
         self.configuration = Configuration()
         self.freshness = Freshness(self.id, clock, settings.freshness_ms)
         self.membership = Membership(clock, self.configuration.accepts)
+        self.issuer = PermitIssuer(
+            self.id, self.configuration, self.freshness, settings.permit_ttl_ms
+        )
         self.peers = Peers(
             record,
             incarnation,
@@ -106,8 +108,9 @@
         limits = HomeLimits(
             partitions=settings.partitions, max_deadline_ms=settings.max_deadline_ms
         )
+        self._retries = RetryBudgets(self.configuration.settings.retry_ratio)
         self.homes = Homes.from_config(
-            self.id, record.zone, clock, rng, limits, budget=self._take_retry
+            self.id, record.zone, clock, rng, limits, budget=self._retries.take
         )
         self.dispatcher = Dispatcher(
             clock, rng, record.zone, policy or ExpectedFinish(), DispatchLimits()
@@ -116,10 +119,7 @@
         self.entries: dict[EntryId, EntryRecord] = {}
         self.config_loaded = False
         self.table: PartitionTable | None = None
-        self._permit_ttl_ms = int(settings.permit_ttl_ms)
-        self._retries: dict[ServiceName, RetryBudget] = {}
         self._live: frozenset[EntryId] = frozenset()
-        self._accepted: dict[AgentId, bool] = {}
 
     def is_ready(self) -> bool:
         """Return whether submissions can be taken: configuration and partition table are known."""
@@ -141,7 +141,8 @@
         if home is None:
             return [Reply(request, key, _no_home())]
         if home != self.id:
-            return self._settle(self.forwards.cancel(request, key, home, CANCEL_LIMIT_MS))
+            cancel = CancelForward(request, self.id, key)
+            return self._settle(self.forwards.ask(cancel, home, QUESTION_LIMIT_MS))
         return self._settle(self.homes.cancel(request, key))
 
     def on_caller_gone(self, request: RequestId) -> None:
@@ -149,11 +150,14 @@
         self.forwards.drop(request)
 
     def on_progress(self, request: RequestId, key: ScopedKey) -> list[EntryEffect]:
-        """Ask for the progress of ``key``; a ``Local`` with a ``ProgressReply`` follows."""
+        """Ask how far ``key`` is; a ``Reply`` if it ended or else a ``Local`` follows."""
         home = self.homes.home_of(key)
         message = Progress(request, self.id, key, False)
         if home is not None and home != self.id:
-            return [SendEntry(home, message)]
+            return self._settle(self.forwards.ask(message, home, QUESTION_LIMIT_MS))
+        outcome = self.homes.kept_outcome(key)
+        if outcome is not None:
+            return [Reply(request, key, outcome)]
         return [Local(self._progress(message))]
 
     def on_tickets(self, message: TicketRequest) -> list[EntryEffect]:
@@ -203,24 +207,25 @@
             case Answer():
                 return self._settle(self.forwards.on_answer(sender, message))
             case CancelForward(request, entry, key):
-                self.forwards.note_origin(request, entry, CANCEL_LIMIT_MS)
+                self.forwards.note_origin(request, entry, QUESTION_LIMIT_MS)
                 return self._settle(self.homes.cancel(request, key))
-            case Progress():
-                return [SendEntry(message.entry, self._progress(message))]
+            case Progress(request, entry, key):
+                outcome = self.homes.kept_outcome(key)
+                if outcome is not None:
+                    return [SendEntry(entry, Answer(request, key, outcome))]
+                return [SendEntry(entry, self._progress(message))]
             case TicketRequest():
                 return [SendEntry(message.entry, self._tickets(message))]
             case ProgressReply() | Tickets():
+                self.forwards.drop(message.request)
                 return [Local(message)]
             case _:
                 return self._settle(self.homes.on_entry_message(sender, message))
 
     def on_entry_unsent(self, entry: EntryId, message: object) -> list[EntryEffect]:
         """Take a message that certainly did not leave for another entry."""
-        match message:
-            case Progress(request, _, _, _):
-                return [Local(ProgressReply(request, False, 0, 0))]
-            case TicketRequest(request, _, _, _):
-                return [Local(Tickets(request, []))]
+        if isinstance(message, TicketRequest):
+            return [Local(Tickets(message.request, []))]
         return self._settle(self.forwards.on_unsent(entry, cast(PeerMessage, message)))
 
     def on_store_contact(self, sent_at_ms: float, revision: Revision) -> list[EntryEffect]:
@@ -299,18 +304,9 @@
         if refusal is not None:
             return self.homes.refuse(submission, refusal)
         if submission.idempotent:
-            self._budget_of(submission.service).on_new_work(len(submission.tasks))
+            self._retries.on_new_work(submission.service, len(submission.tasks))
         return self.homes.submit(submission, self.dispatcher.candidates(submission))
 
-    def _budget_of(self, service: ServiceName) -> RetryBudget:
-        ratio = self.configuration.settings.retry_ratio
-        budget = self._retries.setdefault(service, RetryBudget(ratio))
-        budget.set_ratio(ratio)
-        return budget
-
-    def _take_retry(self, service: ServiceName) -> bool:
-        return self._budget_of(service).take()
-
     def _on_forward(self, forward: Forward) -> list[Effect]:
         self.forwards.note_origin(forward.request, forward.entry, forward.deadline_ms)
         spec = self.configuration.service(forward.service)
@@ -342,18 +338,10 @@
     def _on_heartbeat(self, beat: Heartbeat) -> list[EntryEffect]:
         events = self.membership.on_heartbeat(beat)
         effects = self._on_members(events)
-        accepted = any(isinstance(event, AgentSeen) for event in events)
-        if accepted and self.freshness.is_fresh(self.configuration.revision):
-            accepting = self.configuration.accepts(beat.zone, beat.upstream)
-            self._accepted[beat.agent] = accepting
-            effects.append(SendAgent(beat.agent, self._permit(beat.sequence, accepting)))
+        if any(isinstance(event, AgentSeen) for event in events):
+            effects += self.issuer.answer(beat)
         return effects
 
-    def _permit(self, sequence: int, accepting: bool) -> Permit:
-        return Permit(
-            self.id, sequence, self.configuration.revision, accepting, self._permit_ttl_ms
-        )
-
     def _on_members(self, events: list[MembershipEvent]) -> list[EntryEffect]:
         effects: list[EntryEffect] = []
         for event in events:
@@ -365,7 +353,7 @@
                         effects.append(Note("membership", "agent joined", fields))
                 case AgentsGone(agents, reason, zone, rack):
                     for agent, incarnation in ((a.agent, a.incarnation) for a in agents):
-                        self._accepted.pop(agent, None)
+                        self.issuer.forget(agent)
                         self.dispatcher.on_agent_gone(agent)
                         effects += self._settle(self.homes.on_agent_gone(agent, incarnation))
                     names = [candidate.agent for candidate in agents]
@@ -385,18 +373,14 @@
             configuration.settings,
         )
         self.peers.hasten()
+        self._retries.set_ratio(configuration.settings.retry_ratio)
         effects: list[EntryEffect] = list(configuration.take_notes())
         fields: dict[str, object] = {"revision": configuration.revision}
         effects.append(Note("zone", "configuration in force", fields))
-        for view in self.membership.agents():
+        views = self.membership.agents()
+        for view in views:
             self.dispatcher.on_agent(_to_placement(view))
-            accepting = configuration.accepts(view.zone, view.upstream)
-            if self._accepted.get(view.agent) and not accepting:
-                self._accepted[view.agent] = False
-                effects.append(SendAgent(view.agent, self._permit(0, False)))
-                gone: dict[str, object] = {"agent": view.agent, "zone": view.zone}
-                effects.append(Note("zone", "withdrew a permit", gone))
-        return effects
+        return effects + self._settle(self.issuer.withdraw(views))
 
     def _on_live(self) -> list[EntryEffect]:
         live = self.peers.live()
--- a/snipewell/forward.py
+++ b/snipewell/forward.py
@@ -11,7 +11,7 @@
 from .clock import Clock
 from .effect import Effect, Note, Reply, SendEntry, Submission
 from .ids import EntryId, RequestId, ScopedKey
-from .message import Answer, CancelForward, Forward, PeerMessage
+from .message import Answer, CancelForward, Forward, PeerMessage, Progress
 from .outcome import Outcome, Step, Unknown
 
 HomeOf = Callable[[ScopedKey], EntryId | None]
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """One local request that waits for ``home``; ``submission`` is None for a cancel."""
+    """One local request that waits for ``home``; ``submission`` is None for a question."""
 
     key: ScopedKey
     home: EntryId
@@ -55,20 +55,21 @@
         self._waiting[submission.request] = waiting
         return [] if home == self._entry else [SendEntry(home, self._forward(submission))]
 
-    def cancel(
-        self, request: RequestId, key: ScopedKey, home: EntryId, limit_ms: float
+    def ask(
+        self, message: CancelForward | Progress, home: EntryId, limit_ms: float
     ) -> list[Effect]:
-        """Ask ``home`` to cancel ``key``; give up after ``limit_ms``."""
-        self._waiting[request] = _Waiting(key, home, self._clock.now_ms() + limit_ms, None)
-        return [SendEntry(home, CancelForward(request, self._entry, key))]
+        """Send a question about a key to its home; give up after ``limit_ms``."""
+        give_up_at_ms = self._clock.now_ms() + limit_ms
+        self._waiting[message.request] = _Waiting(message.key, home, give_up_at_ms, None)
+        return [SendEntry(home, message)]
 
     def drop(self, request: RequestId) -> None:
-        """Forget a request whose caller went away; the work goes on at its home."""
+        """Forget a request that was answered otherwise, or whose caller went away."""
         self._waiting.pop(request, None)
 
     def on_unsent(self, home: EntryId, message: PeerMessage) -> list[Effect]:
         """Answer the caller of a message that certainly did not leave this entry."""
-        if not isinstance(message, Forward | CancelForward):
+        if not isinstance(message, Forward | CancelForward | Progress):
             return []
         waiting = self._waiting.get(message.request)
         if waiting is None or waiting.home != home:
--- a/snipewell/home.py
+++ b/snipewell/home.py
@@ -41,7 +41,7 @@
     Result,
     Start,
 )
-from .outcome import Impossible, NotRun, Step, Unknown
+from .outcome import Impossible, NotRun, Outcome, Step, Unknown
 from .partition import (
     PartitionTable,
     count_holders,
@@ -196,6 +196,13 @@
         run = self._context.runs.get(key)
         return None if run is None else (run.finished, run.count)
 
+    def kept_outcome(self, key: ScopedKey) -> Outcome | None:
+        """Return the outcome of an ended submission, None while it runs or without a record."""
+        run, tenure = self._context.runs.get(key), self._tenure_of(key)
+        if run is None or tenure is None or run.state is not RunState.ENDED:
+            return None
+        return tenure.register.kept_outcome(run)
+
     def issue_tickets(self, partition: Partition, count: int) -> list[str]:
         """Return ``count`` new tickets of ``partition``, none if it is not served here."""
         tenure = self._tenures.get(partition)
--- a/snipewell/log.py
+++ b/snipewell/log.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 from collections.abc import Callable
 from typing import IO
@@ -15,6 +16,9 @@
 from .settings import LogSettings
 
 Destination = Callable[[dict[str, object]], None]
+# curio warns of every operation that ended just after its time limit, which is no fault.
+logging.getLogger("curio.time").setLevel(logging.ERROR)
+
 _LEVELS = {"debug": 0, "info": 1, "error": 2, "off": 3}
 
 
--- a/snipewell/register.py
+++ b/snipewell/register.py
@@ -173,7 +173,7 @@
             reason = "the key is in use by a submission with another payload"
             return [Reply(submission.request, submission.key, Conflict(reason))]
         if run.state is RunState.ENDED:
-            return [Reply(submission.request, submission.key, self._kept_outcome(run))]
+            return [Reply(submission.request, submission.key, self.kept_outcome(run))]
         run.waiting[submission.request] = submission.deadline_at_ms
         if run.submission is None and run.state in (RunState.COLLECTING, RunState.PARKED):
             run.submission = submission
@@ -182,7 +182,8 @@
             return self.resume(run)
         return []
 
-    def _kept_outcome(self, run: Run) -> Outcome:
+    def kept_outcome(self, run: Run) -> Outcome:
+        """Return the outcome of an ended run as it is told to a caller now."""
         outcome = run.outcome
         assert outcome is not None
         if isinstance(outcome, NotRun):
@@ -218,7 +219,7 @@
     def cancel(self, request: RequestId, run: Run) -> list[Effect]:
         """End ``run`` for all its callers; answer ``request`` as well."""
         if run.state is RunState.ENDED:
-            return [Reply(request, run.key, self._kept_outcome(run))]
+            return [Reply(request, run.key, self.kept_outcome(run))]
         run.waiting.setdefault(request, run.deadline_at_ms)
         return run.cancel(self._context.clock.now_ms()) + self.settle(run)
 
--- a/snipewell/retry.py
+++ b/snipewell/retry.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from .ids import ServiceName
+
 
 class RetryBudget:
     """Allows retries up to ``ratio`` of new work, plus a small reserve when there is little.
@@ -33,6 +35,31 @@
         return True
 
 
+class RetryBudgets:
+    """One budget for each service, so that a failing service leaves the others theirs."""
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    def set_ratio(self, ratio: float) -> None:
+        """Use another ratio of retries to new work for all services."""
+        self._ratio = ratio
+        for budget in self._budgets.values():
+            budget.set_ratio(ratio)
+
+    def on_new_work(self, service: ServiceName, tasks: int = 1) -> None:
+        """Count ``tasks`` of ``service`` that were admitted for the first time."""
+        self._of(service).on_new_work(tasks)
+
+    def take(self, service: ServiceName) -> bool:
+        """Return whether one retry of ``service`` may happen now, and count it if so."""
+        return self._of(service).take()
+
+    def _of(self, service: ServiceName) -> RetryBudget:
+        return self._budgets.setdefault(service, RetryBudget(self._ratio))
+
+
 @dataclass(frozen=True, slots=True)
 class Backoff:
     """Exponential backoff between ``base_ms`` and ``max_ms`` with full jitter."""
