--- /dev/null
+++ b/snipewell/api.py
@@ -0,0 +1,230 @@
+"""The high-level API: `Client` for callers and `Operator` for operators, on curio.
+
+For example, within a curio task::
+
+    client = Client(["127.0.0.1:8080"], team="annex")
+    outcome = await client.submit_request("intake", b'{"bolt": 7}', key="bolt-7")
+    match outcome:
+        case Complete(results):
+            print(results[0])
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from .caller import Answer, Caller, LostAnswerError, RetryLimits, UnreachableError, escape
+from .clock import Clock
+from .message import Resources
+from .operate import ApiError, Operator
+from .outcome import (
+    Cancelled,
+    Complete,
+    Conflict,
+    Failed,
+    Impossible,
+    Invalid,
+    NotRun,
+    Outcome,
+    Step,
+    Unknown,
+)
+from .web import Request, Response
+
+__all__ = [
+    "ApiError",
+    "Client",
+    "LostAnswerError",
+    "NoRecord",
+    "Operator",
+    "RetryLimits",
+    "Running",
+    "UnreachableError",
+]
+
+DEADLINE_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A submission that has not ended: tasks finished and submitted."""
+
+    finished: int
+    total: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoRecord:
+    """The key's home has no record of it; for a plain key this is no proof that it never ran."""
+
+    reason: str
+
+
+class Client:
+    """Submits requests and jobs for one team and resubmits them until an outcome is known.
+
+    ``addresses`` are ``ip:port`` of the balancer or of entries. Every attempt of a submission has
+    the same key, so its tasks start at most once; an attempt joins the run of an earlier one.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        team: str = "default",
+        limits: RetryLimits | None = None,
+        clock: Clock | None = None,
+        rng: Random | None = None,
+        connections: int = 60,
+    ) -> None:
+        headers = {"snipewell-team": team}
+        self._caller = Caller(addresses, headers, limits, clock, rng, connections)
+
+    async def submit_request(
+        self, service: str, payload: bytes, key: str = "", deadline_ms: float = DEADLINE_MS
+    ) -> Outcome:
+        """Submit one task and return its outcome; ``Complete`` has one result.
+
+        Without a ``key`` a random one is taken, which protects the attempts of this call only.
+        Raises UnreachableError if nothing could be sent.
+        """
+        path = f"/v1/services/{escape(service)}/requests"
+        return await self._submit(path, payload, key, deadline_ms, False)
+
+    async def submit_job(
+        self,
+        service: str,
+        tasks: Sequence[object],
+        key: str = "",
+        deadline_ms: float = DEADLINE_MS,
+        resources: Resources | None = None,
+    ) -> Outcome:
+        """Submit a job of JSON values and return its outcome: all results, or none.
+
+        The results of ``Complete`` are JSON texts in the order of ``tasks``. Raises
+        UnreachableError if nothing could be sent.
+        """
+        body: dict[str, object] = {"service": service, "tasks": list(tasks)}
+        if resources is not None:
+            body["resources"] = resources
+        return await self._submit("/v1/jobs", msgspec.json.encode(body), key, deadline_ms, True)
+
+    async def wait(self, key: str, wait_ms: float = 0) -> Outcome | Running | NoRecord:
+        """Return the kept outcome of ``key``, or its progress after at most ``wait_ms``."""
+        request = Request("GET", f"/v1/jobs/{escape(key)}", {"wait": str(int(wait_ms))})
+        return await self._ask(request, wait_ms + self._caller.limits.grace_ms)
+
+    async def cancel(self, key: str) -> Outcome | Running | NoRecord:
+        """Cancel the submission of ``key`` and return its outcome."""
+        return await self._ask(Request("DELETE", f"/v1/jobs/{escape(key)}"), DEADLINE_MS)
+
+    async def issue_keys(self, count: int = 1) -> list[str]:
+        """Return keys that entries issued, which stay protected after the resubmission window.
+
+        Raises ApiError if no home could issue them.
+        """
+        body = msgspec.json.encode({"count": count})
+        answer = await self._caller.call(Request("POST", "/v1/keys", {}, {}, body), DEADLINE_MS)
+        if answer.response.status != 200:
+            raise ApiError.from_response(answer.response, self._caller.address)
+        return list(msgspec.json.decode(answer.response.body, type=_Keys).keys)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._caller.close()
+
+    async def _submit(
+        self, path: str, body: bytes, key: str, deadline_ms: float, job: bool
+    ) -> Outcome:
+        headers = {"idempotency-key": key or secrets.token_hex(16)}
+        if job:
+            headers["content-type"] = "application/json"
+        request = Request("POST", path, {}, headers, body)
+        try:
+            answer = await self._caller.call(request, deadline_ms, "deadline-ms", (503, 504))
+        except LostAnswerError as error:
+            return Unknown(error.step, error.peer, error.reason)
+        outcome = parse_outcome(answer.response, job, self._caller.address)
+        if isinstance(outcome, Running | NoRecord):
+            return Unknown(Step.EDGE, self._caller.address, "the submission has not ended")
+        return _weaken(outcome, answer, self._caller.address)
+
+    async def _ask(self, request: Request, time_ms: float) -> Outcome | Running | NoRecord:
+        try:
+            answer = await self._caller.call(request, time_ms)
+        except LostAnswerError as error:
+            return Unknown(error.step, error.peer, error.reason)
+        return parse_outcome(answer.response, True, self._caller.address)
+
+
+class _Keys(msgspec.Struct):
+    keys: list[str]
+
+
+class _Body(msgspec.Struct):
+    """The body of an answer; each outcome uses some of the fields."""
+
+    outcome: str = ""
+    results: list[msgspec.Raw] = []
+    step: str = "edge"
+    peer: str = ""
+    reason: str = ""
+    field: str = ""
+    retry_after_ms: int = 1_000
+    this_attempt: str = "started"
+    started: int = 0
+    finished: int = 0
+    total: int = 0
+
+
+def parse_outcome(response: Response, job: bool, peer: str) -> Outcome | Running | NoRecord:
+    """Return the outcome in an entry's response; ``peer`` is named if it is not understood.
+
+    An answer that is not understood is Unknown: it says nothing of what ran.
+    """
+    kind = response.headers.get("snipewell-outcome", "")
+    if kind == "complete" and not job:
+        return Complete([response.body])
+    try:
+        body = msgspec.json.decode(response.body, type=_Body)
+        step = Step(body.step)
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+        return Unknown(Step.EDGE, peer, f"answered with {response.status} and an unknown body")
+    match kind:
+        case "complete":
+            return Complete([bytes(result) for result in body.results])
+        case "failed":
+            return Failed(step, body.peer, body.reason)
+        case "not_run":
+            return NotRun(body.reason, body.retry_after_ms, response.status == 429)
+        case "impossible":
+            return Impossible(body.reason)
+        case "conflict":
+            return Conflict(body.reason)
+        case "cancelled":
+            return Cancelled(body.started)
+        case "invalid":
+            return Invalid(response.status, body.reason, body.field)
+        case "running":
+            return Running(body.finished, body.total)
+        case "unknown_key":
+            return NoRecord(body.reason)
+        case "unknown":
+            started = body.this_attempt != "not_started"
+            return Unknown(step, body.peer, body.reason, started, body.retry_after_ms)
+    return Unknown(Step.EDGE, peer, f"answered with {response.status}, not by an entry")
+
+
+def _weaken(outcome: Outcome, answer: Answer, peer: str) -> Outcome:
+    """Return what is known of all attempts, where the last answer speaks of itself only."""
+    match outcome:
+        case Invalid(_, reason, _) if answer.lost:
+            text = f"an attempt was not answered, and the last one was refused: {reason}"
+            return Unknown(Step.EDGE, peer, text)
+        case Unknown(step, named, reason, False, retry_after_ms) if answer.lost:
+            return Unknown(step, named, reason, True, retry_after_ms)
+    return outcome
--- /dev/null
+++ b/snipewell/caller.py
@@ -0,0 +1,145 @@
+"""HTTP calls to the entries, repeated with jittered backoff where repeating is safe."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from urllib.parse import quote
+
+import curio
+
+from .client import ExchangeError, HttpPool, NotSentError
+from .clock import Clock, SystemClock
+from .outcome import SnipewellError, Step
+from .web import Request, Response
+
+
+class UnreachableError(SnipewellError):
+    """No byte of any attempt has left this process: nothing was asked of the system."""
+
+
+class LostAnswerError(SnipewellError):
+    """An attempt may have reached the system, and no answer came in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """Attempts and pauses in ms: the pause before attempt ``n`` is random, up to ``base * 2**n``.
+
+    ``grace_ms`` is how long beyond the time left the system may take to answer.
+    """
+
+    attempts: int = 6
+    base_ms: float = 50
+    max_ms: float = 2_000
+    grace_ms: float = 3_000
+    connect_ms: float = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The last response; ``lost`` says that an earlier attempt may have had an effect unseen."""
+
+    response: Response
+    lost: bool
+
+
+class Caller:
+    """Sends requests to entries or a balancer, another address after each failure.
+
+    The requests must be safe to repeat: submissions with a key, and declared states.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        headers: dict[str, str],
+        limits: RetryLimits | None = None,
+        clock: Clock | None = None,
+        rng: Random | None = None,
+        connections: int = 60,
+    ) -> None:
+        if not addresses:
+            raise ValueError("expected at least one address")
+        self.limits = limits or RetryLimits()
+        self.clock = clock or SystemClock()
+        self._headers = headers
+        self._rng = rng or Random()
+        self._pools = [HttpPool(address, connections, step=Step.EDGE) for address in addresses]
+        self._next = 0
+
+    @property
+    def address(self) -> str:
+        """The address that the next attempt goes to."""
+        return self._pools[self._next % len(self._pools)].address
+
+    async def call(
+        self,
+        request: Request,
+        time_ms: float,
+        deadline_header: str = "",
+        retry_statuses: Sequence[int] = (503,),
+    ) -> Answer:
+        """Return the last answer; repeat after lost answers and ``retry_statuses``.
+
+        ``time_ms`` is for all attempts together; what is left of it is sent in
+        ``deadline_header``. An attempt gives up after half of it, because a connection may have
+        gone silent. Raises UnreachableError, or LostAnswerError if the last answer was lost.
+        """
+        end_ms = self.clock.now_ms() + time_ms
+        request.headers = {**self._headers, **request.headers}
+        lost, last, response = False, "no time left", None
+        for attempt in range(self.limits.attempts):
+            left_ms = end_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                break
+            if deadline_header:
+                request.headers[deadline_header] = str(max(1, int(left_ms)))
+            pause_ms = 0.0
+            try:
+                pool = self._pools[self._next % len(self._pools)]
+                response = await pool.request(request, left_ms / 2 + self.limits.grace_ms)
+                if response.status not in retry_statuses:
+                    return Answer(response, lost)
+                pause_ms = _retry_after_ms(response)
+            except NotSentError as error:
+                last = error.reason
+                self._next += 1
+            except ExchangeError as error:
+                # What an earlier attempt was told does not hold for this one.
+                lost, last, response = True, error.reason, None
+                self._next += 1
+            backoff_ms = min(self.limits.base_ms * 2**attempt, self.limits.max_ms)
+            pause_ms += self._rng.uniform(0, backoff_ms)
+            if attempt + 1 == self.limits.attempts or self.clock.now_ms() + pause_ms >= end_ms:
+                break
+            await curio.sleep(pause_ms / 1000)
+        if response is not None:
+            return Answer(response, lost)
+        raise (LostAnswerError if lost else UnreachableError)(Step.EDGE, self.address, last)
+
+    async def stream(self, request: Request, silence_ms: float) -> Response:
+        """Return a response with its stream; raise NotSentError or ExchangeError."""
+        request.headers = {**self._headers, **request.headers}
+        pool = self._pools[self._next % len(self._pools)]
+        return await pool.stream(request, self.limits.connect_ms, silence_ms)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for pool in self._pools:
+            await pool.close()
+
+
+def _retry_after_ms(response: Response) -> float:
+    try:
+        seconds = float(response.headers.get("retry-after", "0"))
+    except ValueError:
+        return 0.0
+    return seconds * 1000 if math.isfinite(seconds) and 0 < seconds < 3_600 else 0.0
+
+
+def escape(name: str) -> str:
+    """Return ``name`` as one segment of a path."""
+    return quote(name, safe="")
--- /dev/null
+++ b/snipewell/cli.py
@@ -0,0 +1,391 @@
+"""The command line: cappa commands over `api`. Heavy modules are imported inside the commands."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Annotated, Any, NoReturn
+
+import cappa
+
+if TYPE_CHECKING:
+    from .api import Client, Operator
+    from .outcome import Outcome
+    from .settings import Settings
+
+OK, FAILED, USAGE, UNREACHABLE, UNKNOWN, NOT_RUN = range(6)
+"""Exit statuses. FAILED: the work ran and failed, or was cancelled, or a daemon cut off requests.
+USAGE: the command, a file or the request is not valid. UNREACHABLE: nothing was sent. UNKNOWN: it
+is not known whether the work or the write took effect. NOT_RUN: it certainly did not."""
+
+_FAILED_CALLS = {503: NOT_RUN, 504: UNKNOWN}
+
+SettingsFile = Annotated[str, cappa.Arg(help="settings file, JSON with comments")]
+Output = Annotated[
+    str, cappa.Arg(long="--output", choices=["table", "json"], help="how to print the answer")
+]
+Address = Annotated[
+    str,
+    cappa.Arg(
+        long="--address",
+        default=cappa.Env("SNIPEWELL_ADDRESS", default="127.0.0.1:8080"),
+        help="ip:port of the balancer or of entries, separated by commas",
+    ),
+]
+TokenFile = Annotated[
+    str,
+    cappa.Arg(
+        long="--token-file",
+        default=cappa.Env("SNIPEWELL_TOKEN_FILE", default=""),
+        help="file with the operators' token, needed for writes if the entries ask for one",
+    ),
+]
+Team = Annotated[str, cappa.Arg(long="--team", help="the team on whose behalf to call")]
+KindName = Annotated[
+    str, cappa.Arg(choices=["services", "zones", "upstreams", "teams", "configurations"])
+]
+
+
+class _Command:
+    def __call__(self) -> None:
+        """Run the command and exit with its status."""
+        self._run()
+
+    def _run(self) -> None:
+        raise NotImplementedError
+
+
+@dataclass(kw_only=True)
+class _Remote(_Command):
+    address: Address
+    output: Output = "table"
+
+
+@dataclass(kw_only=True)
+class _Operating(_Remote):
+    token_file: TokenFile = ""
+
+    def operate(self, work: Callable[[Operator], Coroutine[Any, Any, int]]) -> NoReturn:
+        """Run ``work`` with an operator's client and exit with the status that it returns."""
+        from .api import Operator
+        from .settings import read_token
+
+        async def run() -> int:
+            token = read_token(self.token_file) if self.token_file else None
+            operator = Operator(_split(self.address), token)
+            try:
+                return await work(operator)
+            finally:
+                await operator.close()
+
+        _exit(run)
+
+
+@dataclass(kw_only=True)
+class _Calling(_Remote):
+    team: Team = "default"
+
+    def call(self, work: Callable[[Client], Coroutine[Any, Any, int]]) -> NoReturn:
+        """Run ``work`` with a caller's client and exit with the status that it returns."""
+        from .api import Client
+
+        async def run() -> int:
+            client = Client(_split(self.address), self.team)
+            try:
+                return await work(client)
+            finally:
+                await client.close()
+
+        _exit(run)
+
+
+@cappa.command(name="entry")
+@dataclass
+class EntryCommand(_Command):
+    """Run an entry."""
+
+    settings: SettingsFile
+
+    def _run(self) -> None:
+        from .settings import EntrySettings
+
+        _run_daemon(self.settings, EntrySettings, "entryd", "run_entry")
+
+
+@cappa.command(name="agent")
+@dataclass
+class AgentCommand(_Command):
+    """Run the agent of one upstream."""
+
+    settings: SettingsFile
+
+    def _run(self) -> None:
+        from .settings import AgentSettings
+
+        _run_daemon(self.settings, AgentSettings, "agentd", "run_agent")
+
+
+@cappa.command(name="store")
+@dataclass
+class StoreCommand(_Command):
+    """Run the stand-in of the platform's key-value service."""
+
+    settings: SettingsFile
+
+    def _run(self) -> None:
+        from .settings import StoreSettings
+
+        _run_daemon(self.settings, StoreSettings, "standins.store", "run_store")
+
+
+@cappa.command(name="upstream")
+@dataclass
+class UpstreamCommand(_Command):
+    """Run a stand-in upstream."""
+
+    settings: SettingsFile
+
+    def _run(self) -> None:
+        from .settings import UpstreamSettings
+
+        _run_daemon(self.settings, UpstreamSettings, "standins.upstream", "run_upstream")
+
+
+@cappa.command(name="check")
+@dataclass
+class CheckCommand(_Command):
+    """Check a settings file, or resource files, without using them."""
+
+    settings: Annotated[str, cappa.Arg(help="settings file, resource file or directory")]
+
+    def _run(self) -> None:
+        from .check import check_path
+
+        async def run() -> int:
+            print(check_path(self.settings))
+            return OK
+
+        _exit(run)
+
+
+@cappa.command(name="apply")
+@dataclass
+class ApplyCommand(_Operating):
+    """Make the resources of a file or directory the declared state."""
+
+    path: Annotated[str, cappa.Arg(help="resource file, or directory of resource files")]
+    dry_run: Annotated[bool, cappa.Arg(long="--dry-run", help="only show what would change")] = (
+        False
+    )
+    prune: Annotated[
+        bool,
+        cappa.Arg(long="--prune", help="delete resources of the mentioned kinds not declared"),
+    ] = False
+
+    def _run(self) -> None:
+        from .command import apply
+
+        self.operate(lambda o: apply(o, self.path, self.dry_run, self.prune, self.output))
+
+
+@cappa.command(name="get")
+@dataclass
+class GetCommand(_Operating):
+    """Show resources with their status."""
+
+    kind: KindName
+    name: Annotated[str, cappa.Arg(help="one resource; all without it")] = ""
+
+    def _run(self) -> None:
+        from .command import get
+
+        self.operate(lambda o: get(o, self.kind, self.name, self.output))
+
+
+@cappa.command(name="watch")
+@dataclass
+class WatchCommand(_Operating):
+    """Show resources of a kind and each change until interrupted."""
+
+    kind: KindName
+
+    def _run(self) -> None:
+        from .command import watch
+
+        self.operate(lambda o: watch(o, self.kind, self.output))
+
+
+@cappa.command(name="submit")
+@dataclass
+class SubmitCommand(_Calling):
+    """Submit the request or job in a file and wait for its outcome."""
+
+    file: Annotated[str, cappa.Arg(help="job file, JSON with comments")]
+    key: Annotated[str, cappa.Arg(long="--key", help="idempotency key, before the file's")] = ""
+
+    def _run(self) -> None:
+        from .command import submit
+
+        self.call(lambda c: submit(c, self.file, self.key, self.output))
+
+
+@cappa.command(name="cancel")
+@dataclass
+class CancelCommand(_Calling):
+    """Cancel the submission of a key."""
+
+    key: Annotated[str, cappa.Arg(help="the submission's idempotency key")]
+
+    def _run(self) -> None:
+        from .command import cancel
+
+        self.call(lambda c: cancel(c, self.key, self.output))
+
+
+@cappa.command(name="status")
+@dataclass
+class StatusCommand(_Operating):
+    """Show entries, zones and upstreams."""
+
+    def _run(self) -> None:
+        from .command import status
+
+        self.operate(lambda o: status(o, self.output))
+
+
+@cappa.command(name="zone")
+@dataclass
+class ZoneCommand(_Operating):
+    """Take an availability zone into or out of service."""
+
+    name: Annotated[str, cappa.Arg(help="the zone, which must have a resource")]
+    state: Annotated[str, cappa.Arg(choices=["in", "out"])]
+
+    def _run(self) -> None:
+        from .command import set_zone
+
+        self.operate(lambda o: set_zone(o, self.name, self.state == "in", self.output))
+
+
+@cappa.command(name="drain")
+@dataclass
+class DrainCommand(_Operating):
+    """Take an upstream or zone out and wait until it is idle."""
+
+    url: Annotated[str, cappa.Arg(help="upstreams/NAME, zones/NAME, or its http:// URL")]
+    wait_ms: Annotated[int, cappa.Arg(long="--wait-ms", help="how long to wait")] = 30_000
+
+    def _run(self) -> None:
+        from .command import drain, parse_url
+
+        try:
+            address, kind, name = parse_url(self.url)
+        except ValueError as error:
+            _fail(str(error), USAGE)
+        self.address = address or self.address
+        self.operate(lambda o: drain(o, kind, name, self.wait_ms, self.output))
+
+
+@cappa.command(name="snipewell")
+@dataclass
+class Snipewell:
+    """Dispatch sub-second tasks.
+
+    Exit status: 0 ok, 1 failed outcome, 2 usage or validation, 3 unreachable, 4 unknown outcome,
+    5 not run.
+    """
+
+    command: cappa.Subcommands[
+        EntryCommand
+        | AgentCommand
+        | StoreCommand
+        | UpstreamCommand
+        | CheckCommand
+        | ApplyCommand
+        | GetCommand
+        | WatchCommand
+        | SubmitCommand
+        | CancelCommand
+        | StatusCommand
+        | ZoneCommand
+        | DrainCommand
+    ]
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the command in ``argv``, or in the process's arguments; exit with its status."""
+    cappa.invoke(Snipewell, argv=argv, completion=False)
+
+
+def exit_status(outcome: Outcome) -> int:
+    """Return the exit status for the outcome of a submission."""
+    from .outcome import Complete, Conflict, Impossible, Invalid, NotRun, Unknown
+
+    match outcome:
+        case Complete():
+            return OK
+        case Invalid() | Impossible() | Conflict():
+            return USAGE
+        case Unknown():
+            return UNKNOWN
+        case NotRun():
+            return NOT_RUN
+    return FAILED
+
+
+def _run_daemon(path: str, kind: type[Settings], module: str, function: str) -> NoReturn:
+    from importlib import import_module
+
+    from .settings import load_settings
+
+    async def run() -> int:
+        settings = load_settings(path, kind)
+        status = await getattr(import_module(f"snipewell.{module}"), function)(settings)
+        return int(status or OK)
+
+    _exit(run)
+
+
+def _exit(run: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Run a coroutine in a curio kernel and exit; errors become a line and an exit status."""
+    import curio
+
+    from .api import ApiError, LostAnswerError, UnreachableError
+    from .manifest import ManifestError
+    from .outcome import SnipewellError
+    from .settings import SettingsError
+
+    try:
+        sys.exit(curio.run(run))
+    except (ManifestError, SettingsError) as error:
+        _fail(str(error), USAGE)
+    except ApiError as error:
+        _fail(str(error), _FAILED_CALLS.get(error.status, USAGE))
+    except UnreachableError as error:
+        _fail(str(error), UNREACHABLE)
+    except LostAnswerError as error:
+        _fail(str(error), UNKNOWN)
+    except (SnipewellError, OSError) as error:
+        _fail(str(error), FAILED)
+    except KeyboardInterrupt:
+        sys.exit(OK)
+
+
+def _fail(text: str, status: int) -> NoReturn:
+    print(f"snipewell: {text}", file=sys.stderr)
+    sys.exit(status)
+
+
+def _split(addresses: str) -> list[str]:
+    from .settings import split_address
+
+    found = [address.strip() for address in addresses.split(",") if address.strip()]
+    try:
+        for address in found:
+            split_address(address)
+        if not found:
+            raise ValueError("expected ip:port")
+    except ValueError as error:
+        _fail(f"--address: {error}", USAGE)
+    return found
--- /dev/null
+++ b/snipewell/command.py
@@ -0,0 +1,236 @@
+"""What the commands do: calls of the high-level API, printed as tables or as JSON."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from urllib.parse import unquote, urlsplit
+
+import msgspec
+
+from .api import Client, NoRecord, Operator, Running
+from .cli import FAILED, OK, UNKNOWN, USAGE, exit_status
+from .manifest import Difference, ManifestError, compare, load_json, read_manifest
+from .message import Resources
+from .operate import Written, is_drained
+from .outcome import Complete, Outcome
+from .resource import Document, Kind, SpecError, split_error
+from .settings import split_address
+from .table import format_documents, format_status, format_table, format_written
+
+
+class JobFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a job file holds: ``tasks`` for a job, or ``payload`` for a single request.
+
+    ``team`` and ``key`` may be given on the command line instead.
+    """
+
+    service: str
+    tasks: list[object] | None = None
+    payload: object = msgspec.UNSET
+    key: str = ""
+    deadline_ms: float = 10_000
+    resources: Resources | None = None
+
+
+async def apply(operator: Operator, path: str, dry_run: bool, prune: bool, output: str) -> int:
+    """Make the resource files below ``path`` the declared state, and print the differences."""
+    manifest = read_manifest(path)
+    existing = [document for kind in Kind for document in await operator.get(kind)]
+    differences = list(compare(manifest, existing, prune))
+    if output == "table":
+        _print_differences(differences, dry_run)
+    written = await operator.apply(differences, dry_run)
+    if output == "json":
+        _print_json({"differences": differences, "written": written})
+    else:
+        _print_written(written)
+    return OK
+
+
+async def get(operator: Operator, kind: str, name: str, output: str) -> int:
+    """Print resources with their status."""
+    documents = await operator.get(Kind(kind), name)
+    if output == "json":
+        _print_json(documents)
+    else:
+        print(format_documents(Kind(kind), documents))
+    return OK
+
+
+async def watch(operator: Operator, kind: str, output: str) -> int:
+    """Print resources and each change as it comes into force."""
+    async for event in operator.watch(Kind(kind)):
+        if output == "json":
+            _print_json(event)
+        else:
+            spec = "" if event.resource is None else bytes(event.resource.spec).decode()
+            print(f"{event.revision:>8}  {event.type:<6}  {event.name}  {spec}".rstrip())
+        sys.stdout.flush()
+    return OK
+
+
+async def submit(client: Client, file: str, key: str, output: str) -> int:
+    """Submit a job file and print the outcome."""
+    job = read_job(file)
+    key = key or job.key
+    if job.tasks is not None:
+        outcome = await client.submit_job(
+            job.service, job.tasks, key, job.deadline_ms, job.resources
+        )
+    else:
+        payload = msgspec.json.encode(job.payload)
+        outcome = await client.submit_request(job.service, payload, key, job.deadline_ms)
+    _print_outcome(outcome, output)
+    return exit_status(outcome)
+
+
+async def cancel(client: Client, key: str, output: str) -> int:
+    """Cancel a submission and print what became of it."""
+    outcome = await client.cancel(key)
+    match outcome:
+        case Running(finished, total):
+            print(f"still running: {finished} of {total} tasks have finished")
+            return UNKNOWN
+        case NoRecord(reason):
+            print(f"snipewell: {key}: {reason}", file=sys.stderr)
+            return USAGE
+        case _:
+            _print_outcome(outcome, output)
+    tag = outcome.__struct_config__.tag
+    return OK if tag == "cancelled" else exit_status(outcome)
+
+
+async def status(operator: Operator, output: str) -> int:
+    """Print the state of the system; the exit status is 1 if an entry does not answer."""
+    found = await operator.status()
+    if output == "json":
+        _print_json(found)
+    else:
+        print(format_status(found))
+    return OK if all(entry.reachable for entry in found.entries) else FAILED
+
+
+async def set_zone(operator: Operator, name: str, in_service: bool, output: str) -> int:
+    """Take a zone into or out of service and print whether that is in force."""
+    written = await operator.set_in_service(Kind.ZONE, name, in_service)
+    if output == "json":
+        _print_json(written)
+    else:
+        _print_written([written])
+    return OK
+
+
+async def drain(operator: Operator, kind: Kind, name: str, wait_ms: int, output: str) -> int:
+    """Take an upstream or zone out, wait, and print its state; status 1 if it is not idle yet."""
+    document = await operator.drain(kind, name, wait_ms)
+    if output == "json":
+        _print_json(document)
+    else:
+        print(format_documents(kind, [document]))
+    return OK if is_drained(document) else FAILED
+
+
+def parse_url(url: str) -> tuple[str, Kind, str]:
+    """Return address (may be empty), kind and name in ``upstreams/NAME`` or its http:// URL.
+
+    Raises ValueError that says what was expected.
+    """
+    expected = f"expected upstreams/NAME, zones/NAME or its http:// URL, got {url[:200]!r}"
+    parts = urlsplit(url)
+    if parts.scheme not in ("", "http"):
+        raise ValueError(expected)
+    segments = parts.path.strip("/").split("/")
+    if parts.scheme and segments[:1] == ["v1"]:
+        split_address(parts.netloc)
+        del segments[0]
+    elif parts.scheme:
+        raise ValueError(expected)
+    if len(segments) != 2 or segments[0] not in ("upstreams", "zones") or not segments[1]:
+        raise ValueError(expected)
+    return parts.netloc, Kind(segments[0]), unquote(segments[1])
+
+
+def read_job(file: str) -> JobFile:
+    """Return the job in ``file``; raise ManifestError that names the field and the line."""
+    value, text = load_json(Path(file))
+    try:
+        job = msgspec.convert(value, JobFile)
+        if (job.tasks is None) == (job.payload is msgspec.UNSET):
+            raise SpecError("tasks", "expected either tasks or payload")
+        if job.tasks == []:
+            raise SpecError("tasks", "expected at least one task")
+        if job.deadline_ms <= 0:
+            raise SpecError("deadline_ms", f"expected more than 0, got {job.deadline_ms:g}")
+    except msgspec.ValidationError as error:
+        split = split_error(error)
+        raise _job_error(file, text, split) from None
+    except SpecError as error:
+        raise _job_error(file, text, error) from None
+    return job
+
+
+def _job_error(file: str, text: str, error: SpecError) -> ManifestError:
+    place = text.find(error.field.rpartition(".")[2]) if error.field else -1
+    line = text.count("\n", 0, place) + 1 if place >= 0 else None
+    return ManifestError(file, line, error.field, error.reason)
+
+
+def _print_outcome(outcome: Outcome, output: str) -> None:
+    if output == "json":
+        body = msgspec.to_builtins(outcome, enc_hook=_encode, builtin_types=(bytes,))
+        body["outcome"] = body.pop("type")
+        if isinstance(outcome, Complete):
+            body["results"] = [_json_of(result) for result in outcome.results]
+        _print_json(body)
+        return
+    if isinstance(outcome, Complete):
+        rows = [[i, result.decode(errors="replace")] for i, result in enumerate(outcome.results)]
+        print(format_table(["TASK", "RESULT"], rows))
+        return
+    fields = msgspec.to_builtins(outcome)
+    tag = fields.pop("type")
+    text = ", ".join(f"{name} {value}" for name, value in fields.items() if value != "")
+    print(f"{tag}: {text}", file=sys.stderr)
+
+
+def _json_of(result: bytes) -> object:
+    try:
+        return msgspec.json.decode(result)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return result.decode(errors="replace")
+
+
+def _print_differences(differences: list[Difference], dry_run: bool) -> None:
+    for difference in differences:
+        print(f"{difference.action} {difference.kind.value}/{difference.name}")
+        for line in difference.lines:
+            print(f"    {line}")
+    if not differences:
+        print("nothing to change")
+    elif dry_run:
+        print("dry run: nothing was written")
+
+
+def _print_written(written: list[Written]) -> None:
+    made = [answer for answer in written if not answer.dry_run]
+    if not made:
+        return
+    print(format_written(made))
+    late = [answer.revision for answer in made if not answer.in_force]
+    if late:
+        print(f"stored, but not yet in force everywhere: revision {max(late)}; see status")
+    else:
+        print(f"in force at revision {max(answer.revision for answer in made)}")
+
+
+def _encode(value: object) -> object:
+    if isinstance(value, msgspec.Raw):
+        return msgspec.json.decode(value)
+    raise NotImplementedError(f"cannot write {type(value).__name__} as JSON")
+
+
+def _print_json(value: object) -> None:
+    if isinstance(value, list) and value and isinstance(value[0], Document):
+        value = [msgspec.to_builtins(document) for document in value]
+    print(msgspec.json.format(msgspec.json.encode(value, enc_hook=_encode), indent=2).decode())
--- /dev/null
+++ b/snipewell/operate.py
@@ -0,0 +1,248 @@
+"""The operators' part of the high-level API: declared resources and the state of the system."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Iterable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import TypeVar
+
+import curio
+import msgspec
+
+from .caller import Caller, RetryLimits, UnreachableError, escape
+from .client import ExchangeError, NotSentError, fetch
+from .clock import Clock
+from .manifest import Difference
+from .outcome import SnipewellError, Step
+from .resource import Document, Kind, Spec
+from .watch import WatchEvent
+from .web import Request, Response
+
+CALL_MS = 10_000
+PROBE_MS = 1_000
+SILENCE_MS = 7_000
+"""A watch sends an empty line every 2 s; this long without one, the connection is given up."""
+POLL_MS = 200
+T = TypeVar("T")
+
+
+class ApiError(SnipewellError):
+    """The system refused a call with an HTTP ``status``; ``field`` names what was wrong."""
+
+    def __init__(self, step: Step, peer: str, status: int, reason: str, field: str = "") -> None:
+        super().__init__(step, peer, f"{field}: {reason}" if field else reason)
+        self.status = status
+        self.field = field
+
+    @classmethod
+    def from_response(cls, response: Response, peer: str) -> ApiError:
+        """Return the error that ``response`` describes."""
+        try:
+            body = msgspec.json.decode(response.body, type=_ErrorBody)
+            step = Step(body.step)
+        except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+            return cls(Step.EDGE, peer, response.status, f"answered with {response.status}")
+        reason = body.reason or f"answered with {response.status}"
+        return cls(step, body.peer or peer, response.status, reason, body.field)
+
+
+class _ErrorBody(msgspec.Struct):
+    reason: str = ""
+    field: str = ""
+    step: str = "edge"
+    peer: str = ""
+
+
+class _Documents(msgspec.Struct):
+    revision: int
+    items: list[Document]
+
+
+class WriteResult(msgspec.Struct, frozen=True):
+    """What became of one resource in a write."""
+
+    kind: Kind
+    name: str
+    state: str
+    resource_version: int
+    generation: int = 0
+
+
+class Written(msgspec.Struct, frozen=True):
+    """What became of a write; without ``in_force`` it is stored, but not yet used everywhere."""
+
+    revision: int
+    in_force: bool
+    dry_run: bool
+    results: list[WriteResult]
+
+
+class EntryState(msgspec.Struct, frozen=True):
+    """An entry that is registered, and whether it answers and takes new requests."""
+
+    entry: str
+    zone: str = ""
+    http_address: str = ""
+    reachable: bool = False
+    ready: bool = False
+
+
+class _Entries(msgspec.Struct):
+    entries: list[EntryState]
+
+
+class _Ready(msgspec.Struct):
+    ready: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SystemStatus:
+    """The state of the system as one entry knows it."""
+
+    revision: int
+    entries: list[EntryState]
+    zones: list[Document] = field(default_factory=list)
+    upstreams: list[Document] = field(default_factory=list)
+
+
+class Operator:
+    """Declares resources and watches the system; ``token`` is needed for writes if one is set.
+
+    Calls are repeated if an answer is lost, which is safe because they declare a state. Methods
+    raise UnreachableError, LostAnswerError or ApiError.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        token: str | None = None,
+        limits: RetryLimits | None = None,
+        clock: Clock | None = None,
+        rng: Random | None = None,
+    ) -> None:
+        headers = {"authorization": f"Bearer {token}"} if token else {}
+        self._caller = Caller(addresses, headers, limits, clock, rng, 8)
+
+    async def get(self, kind: Kind, name: str = "") -> list[Document]:
+        """Return the resources of ``kind`` with their status, or the one of ``name``."""
+        if name:
+            request = Request("GET", f"/v1/{kind.value}/{escape(name)}")
+            return [await self._call(request, Document)]
+        return (await self._call(Request("GET", f"/v1/{kind.value}"), _Documents)).items
+
+    async def put(self, kind: Kind, spec: Spec, version: int | None = None) -> Written:
+        """Write one resource; with ``version`` only if it has not changed since."""
+        body = msgspec.json.encode({"spec": spec, "resource_version": version})
+        path = f"/v1/{kind.value}/{escape(spec.name)}"
+        return await self._call(Request("PUT", path, {}, {}, body), Written)
+
+    async def apply(
+        self, differences: Iterable[Difference], dry_run: bool = False
+    ) -> list[Written]:
+        """Make the differences, one set for each kind, in their order.
+
+        A set is made as a whole or not at all. Raises ApiError with status 409 if a resource
+        changed since it was compared; sets before it have been made.
+        """
+        sets: dict[Kind, list[dict[str, object]]] = {}
+        for difference in differences:
+            change = {"name": difference.name, "spec": difference.spec}
+            sets.setdefault(difference.kind, []).append(
+                {**change, "resource_version": difference.version}
+            )
+        written: list[Written] = []
+        query = {"dry_run": "true"} if dry_run else {}
+        for kind, changes in sets.items():
+            body = msgspec.json.encode({"changes": changes})
+            request = Request("POST", f"/v1/{kind.value}", query, {}, body)
+            written.append(await self._call(request, Written))
+        return written
+
+    async def set_in_service(self, kind: Kind, name: str, in_service: bool) -> Written:
+        """Take a zone or an upstream into or out of service; a zone must exist."""
+        if kind not in (Kind.ZONE, Kind.UPSTREAM):
+            raise ValueError(f"expected a zone or an upstream, got {kind.value}")
+        if kind is Kind.ZONE:
+            # A misspelt name would declare another zone and leave the one that was meant.
+            await self.get(kind, name)
+        body = msgspec.json.encode({"spec": {"in_service": in_service}})
+        path = f"/v1/{kind.value}/{escape(name)}"
+        return await self._call(Request("PUT", path, {}, {}, body), Written)
+
+    async def drain(self, kind: Kind, name: str, wait_ms: float) -> Document:
+        """Take a zone or an upstream out and wait until that is in force and no task runs there.
+
+        Returns the last state. After ``wait_ms`` that is the state as it is, see `is_drained`.
+        """
+        await self.set_in_service(kind, name, False)
+        end_ms = self._caller.clock.now_ms() + wait_ms
+        while True:
+            (document,) = await self.get(kind, name)
+            if is_drained(document) or self._caller.clock.now_ms() >= end_ms:
+                return document
+            await curio.sleep(POLL_MS / 1000)
+
+    async def watch(self, kind: Kind) -> AsyncIterator[WatchEvent]:
+        """Return all resources of ``kind`` and then every change.
+
+        A broken connection is replaced and all resources are listed again. Raises UnreachableError
+        after ``limits.attempts`` failures in a row.
+        """
+        failures = 0
+        while failures < self._caller.limits.attempts:
+            request = Request("GET", f"/v1/{kind.value}", {"watch": "1"})
+            try:
+                response = await self._caller.stream(request, SILENCE_MS)
+                if response.status != 200 or response.stream is None:
+                    raise ApiError(Step.EDGE, self._caller.address, response.status, "no stream")
+                rest = b""
+                async for part in response.stream:
+                    failures = 0
+                    *lines, rest = (rest + part).split(b"\n")
+                    for line in lines:
+                        if line:
+                            yield msgspec.json.decode(line, type=WatchEvent)
+            except (ExchangeError, NotSentError):
+                failures += 1
+            await curio.sleep(POLL_MS / 1000)
+        raise UnreachableError(Step.EDGE, self._caller.address, "the watch cannot be resumed")
+
+    async def status(self) -> SystemStatus:
+        """Return entries, zones and upstreams; every entry is asked whether it is ready."""
+        listed = await self._call(Request("GET", "/v1/entries"), _Entries)
+        entries = [await self._probe(entry) for entry in listed.entries]
+        zones = await self._call(Request("GET", "/v1/zones"), _Documents)
+        upstreams = await self._call(Request("GET", "/v1/upstreams"), _Documents)
+        return SystemStatus(zones.revision, entries, zones.items, upstreams.items)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._caller.close()
+
+    async def _probe(self, entry: EntryState) -> EntryState:
+        try:
+            response = await fetch(entry.http_address, Request("GET", "/readyz"), PROBE_MS)
+            ready = msgspec.json.decode(response.body, type=_Ready).ready
+        except (SnipewellError, msgspec.MsgspecError):
+            return entry
+        return msgspec.structs.replace(entry, reachable=True, ready=ready)
+
+    async def _call(self, request: Request, kind: type[T]) -> T:
+        answer = await self._caller.call(request, CALL_MS)
+        response, peer = answer.response, self._caller.address
+        if response.status not in (200, 202):
+            raise ApiError.from_response(response, peer)
+        try:
+            return msgspec.json.decode(response.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise ApiError(Step.EDGE, peer, response.status, f"unknown answer: {error}") from None
+
+
+def is_drained(document: Document) -> bool:
+    """Return whether a resource's status says that it is in force and that no task runs there."""
+    status = document.status
+    if status is None:
+        return False
+    held = {condition.type: condition.status for condition in status.conditions}
+    return held.get("InForce", False) and held.get("Idle", True)
--- a/snipewell/standins/store.py
+++ b/snipewell/standins/store.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections import Counter
 from typing import cast
 from urllib.parse import unquote
@@ -236,3 +237,15 @@
                 await curio.sleep(0.02)
         finally:
             await self.stop()
+
+
+async def run_store(settings: StoreSettings) -> int:
+    """Serve a stand-in until SIGTERM or SIGINT; print its address first."""
+    server = StoreServer(StoreStandIn(settings=settings), settings.host, settings.port)
+    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        await server.start()
+        print("store listens on {}:{}".format(*server.address), flush=True)
+        running = await curio.spawn(server.run)
+        await signals.get()
+        await running.cancel()
+    return 0
