Compare the ranks of one team's jobs across placement classes

Cause: best() compared classes by the team's virtual time only, so a single request of a team waited for the whole rebuild of the same team, which is in another class. Change: the rank within the team decides between classes at equal virtual time.

--- a/snipewell/backlog.py
+++ b/snipewell/backlog.py
@@ -141,7 +141,7 @@
     def best(self, blocked: Container[PlacementClass], now_ms: float) -> Batch | None:
         """Return the batch whose task should be placed next, outside ``blocked``, or None."""
         best: Batch | None = None
-        best_at = 0.0
+        best_order = (0.0, 0.0)
         drained = []
         for placement, queue in self._classes.items():
             if placement in blocked:
@@ -149,8 +149,10 @@
             batch = self._head(queue, now_ms)
             if batch is None:
                 drained.append(placement)
-            elif best is None or self._teams[batch.team].virtual_ms < best_at:
-                best, best_at = batch, self._teams[batch.team].virtual_ms
+                continue
+            order = (self._teams[batch.team].virtual_ms, batch.rank(self._ageing))
+            if best is None or order < best_order:
+                best, best_order = batch, order
         for placement in drained:
             del self._classes[placement]
         return best
