Charge teams the time that tasks took, with a bound on their lead

Cause: a declared time that is far off charged a team for work it did not do; its single requests then waited up to 10 s behind the other teams. Change: results correct the charge, by at most 500 ms of lead over the others.

--- a/snipewell/backlog.py
+++ b/snipewell/backlog.py
@@ -23,6 +23,8 @@
 from .ids import AgentId, ScopedKey, ServiceName, TeamName
 from .message import Resources
 
+_MAX_LEAD_MS = 500.0
+
 
 class Size(Enum):
     """How large a job is: placement treats single requests, small jobs and bulk jobs apart."""
@@ -71,9 +73,14 @@
 
 @dataclass(slots=True)
 class _ClassQueue:
-    """The waiting batches of one placement class, by team."""
+    """The waiting batches of one placement class, by team.
+
+    ``teams`` orders the teams by virtual time; an entry counts only if its number is the team's in
+    ``current``, so a team whose virtual time falls gets a new entry in place of the old one.
+    """
 
     teams: list[tuple[float, int, TeamName]] = field(default_factory=list)
+    current: dict[TeamName, int] = field(default_factory=dict)
     batches: dict[TeamName, list[tuple[float, int, Batch]]] = field(default_factory=dict)
 
 
@@ -157,8 +164,10 @@
             del self._classes[placement]
         return best
 
-    def take(self, batch: Batch) -> TaskReady:
-        """Remove and return the first task of ``batch`` and charge its team."""
+    def take(self, batch: Batch, expected_ms: float) -> TaskReady:
+        """Remove and return the first task of ``batch`` and charge its team ``expected_ms``."""
+        self.work_ms += (expected_ms - batch.expected_ms) * len(batch.tasks)
+        batch.expected_ms = expected_ms
         task = batch.tasks.popleft()
         share = self._teams[batch.team]
         self._virtual_ms = max(self._virtual_ms, share.virtual_ms)
@@ -168,11 +177,30 @@
         self.work_ms -= batch.expected_ms
         if batch.tasks:
             heap = self._classes[batch.placement].batches[batch.team]
-            heap[0] = (batch.rank(self._ageing), heap[0][1], batch)
+            heapq.heapreplace(heap, (batch.rank(self._ageing), heap[0][1], batch))
         else:
             self._forget(batch)
         return task
 
+    def correct(self, team: TeamName, expected_ms: float, actual_ms: float) -> None:
+        """Charge ``team`` the time that a task took instead of what was expected.
+
+        Without this, a team whose services declare times that are far too long would be kept from
+        its share. The charge is bounded: a team that used capacity which nobody else wanted would
+        otherwise wait until all others have used as much.
+        """
+        share = self._teams[team]
+        ahead_ms = share.virtual_ms + (actual_ms - expected_ms) / share.weight
+        share.virtual_ms = min(ahead_ms, max(share.virtual_ms, self._virtual_ms + _MAX_LEAD_MS))
+        if actual_ms < expected_ms and share.waiting:
+            for queue in self._classes.values():
+                if team in queue.batches:
+                    self._place_team(queue, team, share.virtual_ms)
+
+    def _place_team(self, queue: _ClassQueue, team: TeamName, virtual_ms: float) -> None:
+        number = queue.current[team] = next(self._sequence)
+        heapq.heappush(queue.teams, (virtual_ms, number, team))
+
     def _share(self, team: TeamName) -> TeamShare:
         return self._teams.setdefault(team, TeamShare())
 
@@ -195,21 +223,24 @@
         heap = queue.batches.get(batch.team)
         if heap is None:
             heap = queue.batches[batch.team] = []
-            heapq.heappush(queue.teams, (share.virtual_ms, next(self._sequence), batch.team))
+            self._place_team(queue, batch.team, share.virtual_ms)
         heapq.heappush(heap, (batch.rank(self._ageing), next(self._sequence), batch))
 
     def _head(self, queue: _ClassQueue, now_ms: float) -> Batch | None:
         """Return the first batch of the team that is furthest behind in ``queue``."""
         while queue.teams:
-            virtual_ms, sequence, team = queue.teams[0]
+            virtual_ms, number, team = queue.teams[0]
+            if queue.current.get(team) != number:
+                heapq.heappop(queue.teams)
+                continue
             heap = queue.batches[team]
             self._drop_ended(heap, now_ms)
             current_ms = self._teams[team].virtual_ms
             if not heap:
                 heapq.heappop(queue.teams)
-                del queue.batches[team]
+                del queue.batches[team], queue.current[team]
             elif current_ms > virtual_ms:
-                heapq.heapreplace(queue.teams, (current_ms, sequence, team))
+                heapq.heapreplace(queue.teams, (current_ms, number, team))
             else:
                 return heap[0][2]
         return None
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -71,6 +71,7 @@
     ready: TaskReady
     agent: AgentId
     arrived_ms: float
+    charged_ms: float
     granted_ms: float
     overdue_ms: float
 
@@ -182,6 +183,7 @@
         holder.report(load, now)
         if run is None or state is TaskState.CANCELLED:
             return
+        self._backlog.correct(run.ready.team, run.charged_ms, elapsed_ms)
         service, upstream = run.ready.service, holder.view.upstream
         if state is TaskState.OK:
             self._estimator.learn(service, upstream, elapsed_ms, now)
@@ -193,6 +195,7 @@
         """Take in a refusal. The home enqueues the task again if it may still run."""
         run = self._end(key, task)
         if run is not None:
+            self._backlog.correct(run.ready.team, run.charged_ms, 0.0)
             self._returned[key, task] = run.arrived_ms
         self.on_started(agent, load)
 
@@ -304,13 +307,14 @@
         return eligible
 
     def _grant(self, batch: Batch, option: Option, now_ms: float) -> Grant:
-        task = self._backlog.take(batch)
+        expected_ms = self._estimator.expect_service_ms(batch.placement.service)
+        task = self._backlog.take(batch, expected_ms)
         state, view = option.state, option.state.view
         self._grants += 1
         state.begin(task.resources, self._grants, now_ms)
         overdue_ms = _OVERDUE_FACTOR * max(option.expected_ms, batch.expected_ms)
         self._running[task.key, task.task] = _Running(
-            task, view.agent, batch.arrived_ms, now_ms, overdue_ms
+            task, view.agent, batch.arrived_ms, batch.expected_ms, now_ms, overdue_ms
         )
         self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
         reason = f"load {state.load()} of {view.slots}, expected {option.expected_ms:.0f} ms"
