--- a/snipewell/entry.py
+++ b/snipewell/entry.py
@@ -11,7 +11,6 @@
 from random import Random
 from typing import cast
 
-from . import membership
 from .clock import Clock
 from .configuration import Configuration
 from .dispatch import Dispatcher, DispatchLimits, Grant
@@ -59,7 +58,6 @@
 from .resource import Kind, ServiceSpec, TeamSpec
 from .retry import RetryBudgets
 from .settings import EntrySettings
-from .view import AgentView
 
 ENTRIES_PREFIX = "cluster/entries/"
 TABLE_KEY = "cluster/partitions"
@@ -347,7 +345,7 @@
         for event in events:
             match event:
                 case AgentSeen(view, joined):
-                    self.dispatcher.on_agent(_to_placement(view))
+                    self.dispatcher.on_agent(view)
                     if joined:
                         fields: dict[str, object] = {"agent": view.agent, "zone": view.zone}
                         effects.append(Note("membership", "agent joined", fields))
@@ -379,7 +377,7 @@
         effects.append(Note("zone", "configuration in force", fields))
         views = self.membership.agents()
         for view in views:
-            self.dispatcher.on_agent(_to_placement(view))
+            self.dispatcher.on_agent(view)
         return effects + self._settle(self.issuer.withdraw(views))
 
     def _on_live(self) -> list[EntryEffect]:
@@ -411,24 +409,6 @@
         return left
 
 
-def _to_placement(view: membership.AgentView) -> AgentView:
-    """Return what placement needs to know of a member."""
-    return AgentView(
-        view.agent,
-        view.incarnation,
-        view.upstream,
-        view.zone,
-        view.rack,
-        view.slots,
-        view.worker,
-        frozenset(view.services),
-        view.draining,
-        view.load,
-        view.in_service,
-        view.last_seen_ms,
-    )
-
-
 def _no_home() -> Unknown:
     reason = "the partition table is not known yet"
     return Unknown(Step.FORWARD, "", reason, attempt_started=False)
--- a/snipewell/issuer.py
+++ b/snipewell/issuer.py
@@ -8,8 +8,8 @@
 from .effect import Effect, Note, SendAgent
 from .freshness import Freshness
 from .ids import AgentId, EntryId
-from .membership import AgentView
 from .message import Heartbeat, Permit
+from .view import AgentView
 
 
 class PermitIssuer:
--- a/snipewell/membership.py
+++ b/snipewell/membership.py
@@ -8,8 +8,9 @@
 
 from .clock import Clock
 from .effect import Note
-from .ids import AgentId, Incarnation, RackId, Revision, ServiceName, UpstreamId, ZoneId
-from .message import Candidate, Heartbeat, Load, Resources
+from .ids import AgentId, Incarnation, RackId, Revision, UpstreamId, ZoneId
+from .message import Candidate, Heartbeat
+from .view import AgentView
 
 Accepts = Callable[[ZoneId, UpstreamId], bool]
 
@@ -36,31 +37,6 @@
     scan_ms: float = 500
 
 
-@dataclass(frozen=True, slots=True)
-class AgentView:
-    """One agent as placement sees it.
-
-    ``slots`` is what may be used now: fewer than the agent announced while its zone returns.
-    ``in_service`` says whether new work may go there: zone and upstream are in service and the
-    agent is not in a quiet time after flapping; an agent that is ``draining`` takes none either.
-    """
-
-    agent: AgentId
-    incarnation: Incarnation
-    upstream: UpstreamId
-    zone: ZoneId
-    rack: RackId
-    slots: int
-    worker: Resources
-    services: tuple[ServiceName, ...]
-    draining: bool
-    load: Load
-    in_service: bool
-    last_seen_ms: float
-    address: str = ""
-    revision: Revision = Revision(0)
-
-
 @dataclass(frozen=True, slots=True)
 class AgentSeen:
     """A heartbeat was accepted; ``joined`` marks the first one of an incarnation."""
@@ -294,7 +270,7 @@
             rack=beat.rack,
             slots=max(1, int(beat.slots * self._share(beat.zone, now))),
             worker=beat.worker,
-            services=tuple(beat.services),
+            services=frozenset(beat.services),
             draining=beat.draining,
             load=beat.load,
             in_service=not quiet and self._accepts(beat.zone, beat.upstream),
--- a/snipewell/view.py
+++ b/snipewell/view.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from .ids import AgentId, Incarnation, RackId, ServiceName, UpstreamId, ZoneId
+from .ids import AgentId, Incarnation, RackId, Revision, ServiceName, UpstreamId, ZoneId
 from .message import Load, Resources
 
 
@@ -12,6 +12,7 @@
 class AgentView:
     """One agent as last heard from.
 
+    ``slots`` is what may be used now: fewer than the agent announced while its zone returns.
     ``load`` is what the agent reported at ``last_seen_ms`` on this entry's clock. ``services`` is
     what the upstream offers; empty means all. ``in_service`` is False while the agent's
     zone or upstream is out of service.
@@ -29,6 +30,8 @@
     load: Load
     in_service: bool
     last_seen_ms: float
+    address: str = ""
+    revision: Revision = Revision(0)
 
     def offers(self, service: ServiceName) -> bool:
         """Return whether the upstream offers ``service``."""
