--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,289 @@
+"""The entry's core: answers that cross, permits, and messages that certainly did not leave."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from snipewell.clock import ManualClock
+from snipewell.effect import Reply, SendAgent, SendEntry, Submission
+from snipewell.entry import Entry, EntryEffect
+from snipewell.group import Group, Item, encode_group, part_key
+from snipewell.ids import (
+    AgentId,
+    EntryId,
+    Incarnation,
+    RackId,
+    RequestId,
+    Revision,
+    ScopedKey,
+    ServiceName,
+    TeamName,
+    UpstreamId,
+    ZoneId,
+    digest_of,
+)
+from snipewell.message import (
+    Answer,
+    Forward,
+    Heartbeat,
+    Load,
+    Message,
+    PeerHeartbeat,
+    Permit,
+    Resources,
+    Result,
+    Snapshot,
+    Start,
+    TaskState,
+)
+from snipewell.outcome import Complete, Outcome, Unknown
+from snipewell.partition import PartitionTable, plan_table
+from snipewell.peer import EntryRecord
+from snipewell.resource import Kind, ServiceSpec, ZoneSpec
+from snipewell.standins.cluster import entry_settings
+
+ZONE = ZoneId("patan")
+AGENT = AgentId("a1")
+
+
+def snapshot(revision: int, in_service: bool) -> Snapshot:
+    def group(name: str, spec: msgspec.Struct) -> bytes:
+        return encode_group(Group({name: Item(msgspec.Raw(msgspec.json.encode(spec)), 1, 1)}))
+
+    values = {
+        part_key(Kind.ZONE): group(ZONE, ZoneSpec(ZONE, in_service)),
+        part_key(Kind.SERVICE): group("dye-test", ServiceSpec(ServiceName("dye-test"))),
+    }
+    return Snapshot(Revision(revision), values)
+
+
+class Fleet:
+    """Entries and one agent that echoes payloads; messages are delivered as the test chooses."""
+
+    def __init__(self, names: tuple[str, ...] = ("e1", "e2", "e3")) -> None:
+        self.clock = ManualClock()
+        self.ids = [EntryId(f"{name}.0") for name in names]
+        records = {e: EntryRecord(e, ZONE, "127.0.0.1:1", "127.0.0.1:2") for e in self.ids}
+        self.flying: list[tuple[EntryId, str, Message]] = []
+        self.replies: dict[RequestId, list[Outcome]] = {}
+        self.permits: list[Permit] = []
+        self.starts = 0
+        self.entries = {
+            entry: Entry(
+                records[entry],
+                Incarnation("0"),
+                entry_settings(entry[:2], ZONE),
+                self.clock,
+                Random(number),
+            )
+            for number, entry in enumerate(self.ids)
+        }
+        table = plan_table(None, dict.fromkeys(self.ids, ZONE), 64)
+        assert table is not None
+        for entry, core in self.entries.items():
+            self.take(entry, core.on_store_entries(records))
+            self.take(entry, core.on_store_snapshot(snapshot(5, True)))
+            self.take(entry, core.on_store_table(PartitionTable(1, table.partitions)))
+            self.beat(entry, 1)
+        self.settle()
+
+    def beat(self, entry: EntryId, sequence: int) -> None:
+        beat = Heartbeat(
+            AGENT, Incarnation("0"), sequence, UpstreamId("u1"), ZONE, RackId("r1"),
+            "127.0.0.1:3", 8, 60, Resources(), [], False, Revision(5), Load(),
+        )  # fmt: skip
+        self.take(entry, self.entries[entry].on_agent_message(AGENT, beat))
+
+    def take(self, entry: EntryId, effects: list[EntryEffect]) -> None:
+        """Carry out what ``entry`` wants done: messages fly until they are delivered."""
+        for effect in effects + self.entries[entry].dispatch():
+            match effect:
+                case SendEntry(peer, message):
+                    self.flying.append((peer, entry, message))
+                case SendAgent(_, Start(key, task, payload=payload)):
+                    self.starts += 1
+                    result = Result(key, task, TaskState.OK, payload, "", 1.0, Load())
+                    self.flying.append((entry, AGENT, result))
+                case SendAgent(_, Permit() as permit):
+                    self.permits.append(permit)
+                case Reply(request, _, outcome):
+                    self.replies.setdefault(request, []).append(outcome)
+
+    def deliver(self, index: int, keep: bool = False) -> None:
+        """Deliver one flying message; ``keep`` lets it arrive a second time later."""
+        target, sender, message = self.flying[index]
+        if not keep:
+            del self.flying[index]
+        core = self.entries[target]
+        if sender == AGENT:
+            self.take(target, core.on_agent_message(AGENT, message))
+        else:
+            self.take(target, core.on_entry_message(EntryId(sender), message))
+
+    def settle(self) -> None:
+        """Deliver everything, and let time pass, until nothing is left to do."""
+        for _ in range(5):
+            while self.flying:
+                self.deliver(0)
+            for entry, core in self.entries.items():
+                self.take(entry, core.tick())
+
+    def submit(self, entry: EntryId, number: int) -> RequestId:
+        payload = [b"%d" % number]
+        service = ServiceName("dye-test")
+        submission = Submission(
+            RequestId(f"{entry}/{number}"), entry, ScopedKey(f"default/k{number}"),
+            digest_of(service, payload), service, TeamName("default"), payload,
+            self.clock.now_ms() + 5_000, False, False, Resources(),
+        )  # fmt: skip
+        self.take(entry, self.entries[entry].on_submission(submission))
+        return submission.request
+
+    def key_with_home(self, home: EntryId) -> int:
+        core = self.entries[home]
+        return next(n for n in range(999) if core.homes.home_of(ScopedKey(f"default/k{n}")) == home)
+
+
+@settings(max_examples=60)
+@given(st.data())
+def test_crossed_and_repeated_answers_reach_their_own_callers(data: st.DataObject) -> None:
+    """Guards against an answer that reaches another request's caller, or one answered twice."""
+    fleet = Fleet()
+    expected = {fleet.submit(fleet.ids[n % 3], n): b"%d" % n for n in range(12)}
+    for _ in range(200):
+        if not fleet.flying:
+            break
+        index = data.draw(st.integers(0, len(fleet.flying) - 1))
+        is_answer = isinstance(fleet.flying[index][2], Answer | Result)
+        fleet.deliver(index, keep=is_answer and data.draw(st.booleans()))
+    fleet.settle()
+    assert fleet.replies == {
+        request: [Complete([payload])] for request, payload in expected.items()
+    }
+    assert fleet.starts == 12
+
+
+def test_answer_for_another_key_is_dropped() -> None:
+    """Guards against a request id that was reused after a restart."""
+    fleet = Fleet()
+    number = fleet.key_with_home(fleet.ids[1])
+    request = fleet.submit(fleet.ids[0], number)
+    crossed = Answer(request, ScopedKey("default/other"), Complete([b"other"]))
+    fleet.take(fleet.ids[0], fleet.entries[fleet.ids[0]].on_entry_message(fleet.ids[1], crossed))
+    assert request not in fleet.replies
+    fleet.settle()
+    assert fleet.replies[request] == [Complete([b"%d" % number])]
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_forward_without_answer_says_whether_it_may_have_started(is_sent: bool) -> None:
+    """Guards against "not started" for an attempt that may have reached its home."""
+    fleet = Fleet()
+    first, home = fleet.ids[0], fleet.ids[1]
+    request = fleet.submit(first, fleet.key_with_home(home))
+    (forward,) = [m for _, _, m in fleet.flying if isinstance(m, Forward)]
+    fleet.flying.clear()
+    if not is_sent:
+        fleet.take(first, fleet.entries[first].on_entry_unsent(home, forward))
+    fleet.clock.advance(5_600)
+    fleet.take(first, fleet.entries[first].tick())
+    (outcome,) = fleet.replies[request]
+    assert isinstance(outcome, Unknown)
+    assert outcome.attempt_started is is_sent
+    assert outcome.peer == home
+
+
+def test_waiting_request_follows_its_key_to_a_new_home() -> None:
+    """Guards against callers that are left waiting for a home that was replaced."""
+    fleet = Fleet()
+    first, home = fleet.ids[0], fleet.ids[1]
+    number = fleet.key_with_home(home)
+    request = fleet.submit(first, number)
+    fleet.flying.clear()
+    live = {entry: ZONE for entry in fleet.ids if entry != home}
+    table = fleet.entries[first].table
+    assert table is not None
+    planned = plan_table(table, live, 64)
+    assert planned is not None
+    records = {e: r for e, r in fleet.entries[first].entries.items() if e != home}
+    for entry in live:
+        fleet.clock.advance(1_000)
+        fleet.take(entry, fleet.entries[entry].on_store_entries(records))
+        fleet.take(
+            entry, fleet.entries[entry].on_store_table(PartitionTable(2, planned.partitions))
+        )
+    del fleet.entries[home]
+    fleet.flying = [flying for flying in fleet.flying if flying[0] != home]
+    while fleet.flying:
+        if fleet.flying[0][0] == home:
+            del fleet.flying[0]
+        else:
+            fleet.deliver(0)
+    assert fleet.replies[request] == [Complete([b"%d" % number])]
+
+
+def test_permits_need_fresh_contact() -> None:
+    """Guards against permits by an entry that may have missed that a zone was withdrawn."""
+    fleet = Fleet()
+    entry = fleet.ids[0]
+    core = fleet.entries[entry]
+    fleet.clock.advance(2_000)
+    fleet.take(entry, core.on_store_contact(fleet.clock.now_ms(), Revision(5)))
+    fleet.beat(entry, 2)
+    assert [p.accepting for p in fleet.permits[-1:]] == [True]
+    fleet.clock.advance(900)
+    fleet.take(entry, core.on_store_contact(fleet.clock.now_ms() - 900, Revision(5)))
+    fleet.clock.advance(200)
+    fleet.permits.clear()
+    fleet.beat(entry, 3)
+    assert fleet.permits == []
+
+
+def test_withdrawn_zone_is_pushed_to_agents_at_once() -> None:
+    """Guards against agents that go on for a whole heartbeat after a zone left."""
+    fleet = Fleet(("e1",))
+    (entry,) = fleet.ids
+    core = fleet.entries[entry]
+    fleet.take(entry, core.on_store_contact(fleet.clock.now_ms(), Revision(5)))
+    fleet.beat(entry, 2)
+    fleet.permits.clear()
+    fleet.take(entry, core.on_store_snapshot(snapshot(6, False)))
+    assert [(p.sequence, p.revision, p.accepting) for p in fleet.permits] == [(0, 6, False)]
+
+
+def test_start_that_did_not_leave_is_granted_again() -> None:
+    """Guards against a task that waits for an agent which never heard of it."""
+    fleet = Fleet(("e1",))
+    (entry,) = fleet.ids
+    core = fleet.entries[entry]
+    fleet.submit(entry, 1)
+    _, _, result = fleet.flying.pop()
+    assert isinstance(result, Result)
+    start = Start(
+        result.key, result.task, core.own_partitions()[0], core.table.partitions[0].epoch,
+        ServiceName("dye-test"), TeamName("default"), b"1", 100.0, False, entry, attempt=1,
+    )  # fmt: skip
+    fleet.take(entry, core.on_agent_unsent(AGENT, start))
+    fleet.settle()
+    assert fleet.starts == 2
+    assert [type(o) for outcomes in fleet.replies.values() for o in outcomes] == [Complete]
+
+
+def test_peer_with_a_higher_revision_is_asked_once() -> None:
+    """Guards against an entry behind its peers, and against a flood of snapshots to it."""
+    fleet = Fleet()
+    first, second = fleet.ids[:2]
+    fleet.entries[second].on_store_snapshot(snapshot(9, True))
+    fleet.clock.advance(1_000)
+    for sequence in range(3):
+        beat = PeerHeartbeat(second, Incarnation("0"), sequence, Revision(9), 1, 0.0)
+        fleet.take(first, fleet.entries[first].on_entry_message(second, beat))
+    asked = [m for target, _, m in fleet.flying if type(m).__name__ == "SnapshotRequest"]
+    assert len(asked) == 1
+    fleet.settle()
+    assert fleet.entries[first].configuration.revision == 9
