--- a/snipewell/entry.py
+++ b/snipewell/entry.py
@@ -117,6 +117,7 @@
         self.entries: dict[EntryId, EntryRecord] = {}
         self.config_loaded = False
         self.table: PartitionTable | None = None
+        self._partitions = settings.partitions
         self._live: frozenset[EntryId] = frozenset()
 
     def is_ready(self) -> bool:
@@ -254,6 +255,9 @@
         """Take the partition table that the store holds now."""
         if self.table is not None and table.version <= self.table.version:
             return []
+        if len(table.partitions) != self._partitions:
+            fields: dict[str, object] = {"table": len(table.partitions), "own": self._partitions}
+            return [Note("home", "ALARM the table has another number of partitions", fields)]
         self.table = table
         self.peers.table_version = table.version
         effects = self._settle(self.homes.on_table(table))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,14 +6,19 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import fields
 from syrupy.assertion import SnapshotAssertion
 
 from snipewell.settings import (
     AgentSettings,
+    BalancerSettings,
     EntrySettings,
+    HttpSettings,
+    LogSettings,
     Settings,
     SettingsError,
     StoreSettings,
+    UpstreamSettings,
     load_settings,
     parse_settings,
     read_token,
@@ -99,3 +104,14 @@
     os.chmod(path, 0o640)
     path.write_text(f"{'k' * 16}\n")
     assert read_token(str(path)) == "k" * 16
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [EntrySettings, HttpSettings, LogSettings, AgentSettings, StoreSettings, UpstreamSettings]
+    + [BalancerSettings],
+)
+def test_every_field_is_documented(kind: type[Settings]) -> None:
+    """Guards against a setting that operators cannot find in docs/settings.md."""
+    page = (Path(__file__).parent.parent / "docs" / "settings.md").read_text()
+    assert [f.name for f in fields(kind) if f"`{f.name}`" not in page] == []
