--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -49,6 +49,7 @@
 from .resources import Counts, Resources
 from .server import HttpServer, ServerLimits
 from .settings import EntrySettings, HttpSettings, read_token
+from .signals import SignalQueue
 from .store import Store
 from .transport import Dealers, Router, agent_identity, parse_agent_identity
 from .web import Request, Response
@@ -388,7 +389,7 @@
     request was cut off or a partition could not be handed over, and the log says which.
     """
     daemon = EntryDaemon(settings)
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+    async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
         await daemon.start()
         await signals.get()
         draining = await curio.spawn(daemon.drain)
--- /dev/null
+++ b/snipewell/signals.py
@@ -0,0 +1,50 @@
+"""Signals of the operating system for a curio task; curio 1.6 has none of its own."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from types import TracebackType
+from typing import Any
+
+import curio.io
+
+
+class SignalQueue:
+    """Receives signals in order, within ``async with`` in the main thread of the process.
+
+    For example ``async with SignalQueue(signal.SIGTERM) as signals: await signals.get()``.
+    """
+
+    def __init__(self, *signals: signal.Signals) -> None:
+        self._signals = signals
+        self._previous: dict[signal.Signals, Any] = {}
+        self._previous_descriptor = -1
+
+    async def __aenter__(self) -> SignalQueue:
+        receiving, self._sending = socket.socketpair()
+        self._sending.setblocking(False)
+        self._receiving = curio.io.Socket(receiving)
+        self._previous_descriptor = signal.set_wakeup_fd(self._sending.fileno())
+        for number in self._signals:
+            self._previous[number] = signal.signal(number, lambda *_: None)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for number, handler in self._previous.items():
+            signal.signal(number, handler)
+        signal.set_wakeup_fd(self._previous_descriptor)
+        await self._receiving.close()
+        self._sending.close()
+
+    async def get(self) -> signal.Signals:
+        """Wait for the next signal and return it."""
+        while True:
+            number = signal.Signals((await self._receiving.recv(1))[0])
+            if number in self._signals:
+                return number
