--- a/snipewell/check.py
+++ b/snipewell/check.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 
 from .manifest import ManifestError, load_json, read_manifest
-from .resource import Kind
 from .settings import (
     AgentSettings,
     BalancerSettings,
@@ -34,9 +33,11 @@
         return _check_resources(path)
     value, _ = load_json(Path(path))
     fields = set(value) if isinstance(value, dict) else set()
-    if fields & {kind.value for kind in Kind} and "host" not in fields:
+    if not fields:
+        raise ManifestError(path, None, "", "expected an object with settings or resources")
+    name = _recognise(fields)
+    if not name:
         return _check_resources(path)
-    name = _recognise(path, fields)
     load_settings(path, _KINDS[name])
     return f"{path}: valid settings of {name}"
 
@@ -46,8 +47,8 @@
     return f"{path}: {len(manifest.entries)} valid resources"
 
 
-def _recognise(path: str, fields: set[str]) -> str:
-    """Return the kind of settings that knows the most of the fields and demands the fewest more."""
+def _recognise(fields: set[str]) -> str:
+    """Return the settings that know the most of the fields and demand the fewest more, or none."""
 
     def score(name: str) -> tuple[int, int]:
         kind = _KINDS[name]
@@ -56,7 +57,4 @@
         return len(fields & known) - len(fields - known), -len(required - fields)
 
     best = max(_KINDS, key=score)
-    if not fields & set(_KINDS[best].__struct_fields__):
-        expected = ", ".join(_KINDS)
-        raise ManifestError(path, None, "", f"expected settings of one of {expected}")
-    return best
+    return best if fields & set(_KINDS[best].__struct_fields__) else ""
--- a/snipewell/command.py
+++ b/snipewell/command.py
@@ -14,7 +14,7 @@
 from .message import Resources
 from .operate import Written, is_drained
 from .outcome import Complete, Outcome
-from .resource import Document, Kind, SpecError, split_error
+from .resource import Kind, SpecError, split_error
 from .settings import split_address
 from .table import format_documents, format_status, format_table, format_written
 
@@ -178,8 +178,8 @@
 
 def _print_outcome(outcome: Outcome, output: str) -> None:
     if output == "json":
-        body = msgspec.to_builtins(outcome, enc_hook=_encode, builtin_types=(bytes,))
-        body["outcome"] = body.pop("type")
+        fields = msgspec.to_builtins(outcome)
+        body = {"outcome": fields.pop("type"), **fields}
         if isinstance(outcome, Complete):
             body["results"] = [_json_of(result) for result in outcome.results]
         _print_json(body)
@@ -224,13 +224,5 @@
         print(f"in force at revision {max(answer.revision for answer in made)}")
 
 
-def _encode(value: object) -> object:
-    if isinstance(value, msgspec.Raw):
-        return msgspec.json.decode(value)
-    raise NotImplementedError(f"cannot write {type(value).__name__} as JSON")
-
-
 def _print_json(value: object) -> None:
-    if isinstance(value, list) and value and isinstance(value[0], Document):
-        value = [msgspec.to_builtins(document) for document in value]
-    print(msgspec.json.format(msgspec.json.encode(value, enc_hook=_encode), indent=2).decode())
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
--- a/snipewell/manifest.py
+++ b/snipewell/manifest.py
@@ -15,7 +15,7 @@
 import msgspec
 import pyjson5
 
-from .resource import Document, Kind, Spec, SpecError, parse_spec
+from .resource import Document, Kind, Spec, SpecError, UpstreamSpec, ZoneSpec, parse_spec
 
 ORDER = (Kind.CONFIGURATION, Kind.ZONE, Kind.UPSTREAM, Kind.TEAM, Kind.SERVICE)
 """Zones and teams come before the services that name them."""
@@ -37,12 +37,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """One declared resource and where it is declared."""
+    """One declared resource, where it is declared, and the fields that are stated there."""
 
     kind: Kind
     spec: Spec
     file: str
-    line: int | None
+    line: int
+    stated: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +84,7 @@
             for entry in found:
                 other = seen.setdefault((kind, entry.spec.name), entry)
                 if other is not entry:
-                    place = f"{other.file}:{other.line}" if other.line else other.file
+                    place = f"{other.file}:{other.line}"
                     reason = f"expected once, {entry.spec.name!r} is also declared in {place}"
                     raise ManifestError(entry.file, entry.line, f"{kind.value}.name", reason)
                 entries.append(entry)
@@ -93,23 +94,29 @@
 def compare(manifest: Manifest, existing: Iterable[Document], prune: bool) -> Iterator[Difference]:
     """Return the differences, in the order in which they should be applied.
 
-    With ``prune``, resources that are not declared are deleted, but only of kinds that the files
-    mention.
+    Whether a zone or upstream is in service stays as it is unless the file states it: applying
+    files must not bring back what operators took out. With ``prune``, resources that no file
+    declares are deleted, but only of kinds that the files mention.
     """
     documents = {(document.kind, document.name): document for document in existing}
     for kind in ORDER:
-        wanted = {entry.spec.name: entry.spec for entry in manifest.entries if entry.kind is kind}
-        for name, spec in sorted(wanted.items()):
-            document = documents.get((kind, name))
+        wanted = {entry.spec.name: entry for entry in manifest.entries if entry.kind is kind}
+        for name, entry in sorted(wanted.items()):
+            document, spec = documents.get((kind, name)), entry.spec
             if document is None:
                 yield Difference(kind, name, "create", spec, 0, _show(spec))
-            elif lines := _diff(document.spec, spec):
+                continue
+            if isinstance(spec, ZoneSpec | UpstreamSpec) and "in_service" not in entry.stated:
+                stored = msgspec.json.decode(document.spec, type=type(spec))
+                spec = msgspec.structs.replace(spec, in_service=stored.in_service)
+            if lines := _diff(document.spec, spec):
                 yield Difference(kind, name, "update", spec, document.resource_version, lines)
         if prune and kind in manifest.kinds:
             for key, document in sorted(documents.items(), key=lambda pair: pair[0][1]):
                 if key[0] is kind and key[1] not in wanted:
                     version = document.resource_version
-                    yield Difference(kind, key[1], "delete", None, version, [])
+                    lines = [f"- {k}: {_text(v)}" for k, v in _settled(document).items()]
+                    yield Difference(kind, key[1], "delete", None, version, lines)
 
 
 def _find_files(path: Path) -> list[Path]:
@@ -141,7 +148,13 @@
             raise ManifestError(file, line, name, f"expected one of {known}") from None
         if not isinstance(specs, list):
             raise ManifestError(file, _find(text, name), name, "expected a list of specs")
-        yield kind, [_parse(file, text, kind, i, spec) for i, spec in enumerate(specs)]
+        entries: list[Entry] = []
+        position = max(text.find(name), 0)
+        for index, spec in enumerate(specs):
+            position = _find_spec(text, spec, position)
+            entries.append(_parse(file, text, kind, index, spec, position))
+            position += 1
+        yield kind, entries
 
 
 def load_json(path: Path) -> tuple[object, str]:
@@ -162,17 +175,26 @@
         raise ManifestError(file, line, "", f"expected JSON with comments: {reason}") from None
 
 
-def _parse(file: str, text: str, kind: Kind, index: int, value: object) -> Entry:
-    name = value.get("name") if isinstance(value, dict) else None
-    line = _find(text, rf"[\"']{re.escape(name)}[\"']") if isinstance(name, str) else None
+def _parse(file: str, text: str, kind: Kind, index: int, value: object, position: int) -> Entry:
+    line = text.count("\n", 0, position) + 1
     try:
-        return Entry(kind, parse_spec(kind, value), file, line)
+        spec = parse_spec(kind, value)
     except SpecError as error:
         last = error.field.rpartition(".")[2]
-        start = text.find(f'"{name}"') if isinstance(name, str) else text.find(kind.value)
-        line = _find(text, rf"\b{re.escape(last)}\b", max(start, 0)) or line if last else line
+        if last:
+            line = _find(text, rf"\b{re.escape(last)}\b", position) or line
         field = f"{kind.value}[{index}].{error.field}".rstrip(".")
         raise ManifestError(file, line, field, error.reason) from None
+    return Entry(kind, spec, file, line, frozenset(value if isinstance(value, dict) else ()))
+
+
+def _find_spec(text: str, value: object, start: int) -> int:
+    """Return where the spec with the name in ``value`` begins after ``start``, else ``start``."""
+    name = value.get("name") if isinstance(value, dict) else None
+    if not isinstance(name, str):
+        return start
+    match = re.compile(rf"[\"']{re.escape(name)}[\"']").search(text, start)
+    return match.start() if match else start
 
 
 def _find(text: str, pattern: str, start: int = 0) -> int | None:
@@ -201,5 +223,11 @@
     return lines
 
 
+def _settled(document: Document) -> dict[str, object]:
+    """Return what a deletion gives up besides the name: that it is out of service."""
+    spec = msgspec.json.decode(document.spec)
+    return {k: v for k, v in spec.items() if k == "in_service" and not v}
+
+
 def _text(value: object) -> str:
     return msgspec.json.encode(value).decode()
--- a/snipewell/membership.py
+++ b/snipewell/membership.py
@@ -10,6 +10,7 @@
 from .effect import Note
 from .ids import AgentId, Incarnation, RackId, Revision, ServiceName, UpstreamId, ZoneId
 from .message import Candidate, Heartbeat, Load, Resources
+from .resource import Condition, Kind
 
 Accepts = Callable[[ZoneId, UpstreamId], bool]
 
@@ -184,6 +185,16 @@
         """Return how many agents reported ``revision`` or a later one."""
         return sum(m.heartbeat.revision >= revision for m in self._members.values())
 
+    def conditions(self, kind: Kind, name: str) -> list[Condition]:
+        """Return whether the agents of a zone or upstream are idle, as they reported last."""
+        if kind not in (Kind.ZONE, Kind.UPSTREAM):
+            return []
+        beats = [member.heartbeat for member in self._members.values()]
+        beats = [b for b in beats if name == (b.zone if kind is Kind.ZONE else b.upstream)]
+        tasks = sum(beat.load.busy + beat.load.queued for beat in beats)
+        reason = f"{tasks} tasks on {len(beats)} agents" if tasks else ""
+        return [Condition("Idle", tasks == 0, reason)]
+
     def __len__(self) -> int:
         return len(self._members)
 
--- a/snipewell/operate.py
+++ b/snipewell/operate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import AsyncIterator, Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -11,7 +12,7 @@
 import msgspec
 
 from .caller import Caller, RetryLimits, UnreachableError, escape
-from .client import ExchangeError, NotSentError, fetch
+from .client import ExchangeError, HttpStream, NotSentError, fetch
 from .clock import Clock
 from .manifest import Difference
 from .outcome import SnipewellError, Step
@@ -106,6 +107,55 @@
     upstreams: list[Document] = field(default_factory=list)
 
 
+class Watch(AsyncIterator[WatchEvent]):
+    """The resources of a kind and each change; `close` it when done.
+
+    A broken connection is replaced, and then all resources are listed again. Raises
+    UnreachableError after ``limits.attempts`` failures in a row.
+    """
+
+    def __init__(self, caller: Caller, kind: Kind) -> None:
+        self._caller = caller
+        self._kind = kind
+        self._stream: HttpStream | None = None
+        self._rest = b""
+        self._lines: deque[bytes] = deque()
+
+    async def __anext__(self) -> WatchEvent:
+        failures = 0
+        while failures < self._caller.limits.attempts:
+            while self._lines:
+                line = self._lines.popleft()
+                if line:
+                    return msgspec.json.decode(line, type=WatchEvent)
+            try:
+                await self._read()
+            except (ExchangeError, NotSentError, StopAsyncIteration):
+                failures += 1
+                await self.close()
+                await curio.sleep(POLL_MS / 1000)
+        raise UnreachableError(Step.EDGE, self._caller.address, "the watch cannot be resumed")
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self._rest = b""
+        if self._stream is not None:
+            stream, self._stream = self._stream, None
+            await stream.close()
+
+    async def _read(self) -> None:
+        if self._stream is None:
+            request = Request("GET", f"/v1/{self._kind.value}", {"watch": "1"})
+            response = await self._caller.stream(request, SILENCE_MS)
+            assert isinstance(response.stream, HttpStream)
+            self._stream = response.stream
+            if response.status != 200:
+                await self.close()
+                raise ApiError(Step.EDGE, self._caller.address, response.status, "no stream")
+        *lines, self._rest = (self._rest + await anext(self._stream)).split(b"\n")
+        self._lines.extend(lines)
+
+
 class Operator:
     """Declares resources and watches the system; ``token`` is needed for writes if one is set.
 
@@ -183,30 +233,9 @@
                 return document
             await curio.sleep(POLL_MS / 1000)
 
-    async def watch(self, kind: Kind) -> AsyncIterator[WatchEvent]:
-        """Return all resources of ``kind`` and then every change.
-
-        A broken connection is replaced and all resources are listed again. Raises UnreachableError
-        after ``limits.attempts`` failures in a row.
-        """
-        failures = 0
-        while failures < self._caller.limits.attempts:
-            request = Request("GET", f"/v1/{kind.value}", {"watch": "1"})
-            try:
-                response = await self._caller.stream(request, SILENCE_MS)
-                if response.status != 200 or response.stream is None:
-                    raise ApiError(Step.EDGE, self._caller.address, response.status, "no stream")
-                rest = b""
-                async for part in response.stream:
-                    failures = 0
-                    *lines, rest = (rest + part).split(b"\n")
-                    for line in lines:
-                        if line:
-                            yield msgspec.json.decode(line, type=WatchEvent)
-            except (ExchangeError, NotSentError):
-                failures += 1
-            await curio.sleep(POLL_MS / 1000)
-        raise UnreachableError(Step.EDGE, self._caller.address, "the watch cannot be resumed")
+    def watch(self, kind: Kind) -> Watch:
+        """Return a stream of all resources of ``kind`` and then of every change."""
+        return Watch(self._caller, kind)
 
     async def status(self) -> SystemStatus:
         """Return entries, zones and upstreams; every entry is asked whether it is ready."""
--- a/snipewell/store.py
+++ b/snipewell/store.py
@@ -187,7 +187,7 @@
         try:
             response = await self._pool.request(request, self._timeout_ms + wait_ms)
         except (NotSentError, ExchangeError) as error:
-            raise StoreUnreachableError(self._address, str(error)) from None
+            raise StoreUnreachableError(self._address, error.reason) from None
         if response.status not in (200, 404):
             reason = f"{request.method} {request.path} was answered with {response.status}"
             raise StoreUnreachableError(self._address, reason)
@@ -203,9 +203,9 @@
         try:
             response = await self._pool.request(request, self._timeout_ms)
         except NotSentError as error:
-            raise StoreUnreachableError(self._address, str(error)) from None
+            raise StoreUnreachableError(self._address, error.reason) from None
         except ExchangeError as error:
-            return await self._read_back(key, if_revision, is_own, str(error))
+            return await self._read_back(key, if_revision, is_own, error.reason)
         if response.status >= 500:
             reason = f"answered with {response.status}"
             return await self._read_back(key, if_revision, is_own, reason)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,6 +7,7 @@
 from snipewell.ids import AgentId, Incarnation, RackId, Revision, ServiceName, UpstreamId, ZoneId
 from snipewell.membership import AgentSeen, AgentsGone, Membership
 from snipewell.message import Heartbeat, Load, Resources
+from snipewell.resource import Kind
 
 ZONE = ZoneId("pos-east")
 
@@ -156,3 +157,13 @@
         world.clock.advance(500)
     assert slots[0] == 8 and slots[9] == 2 and slots[-1] == 8
     assert slots[9:] == sorted(slots[9:])
+
+
+def test_a_zone_is_idle_only_without_tasks() -> None:
+    """Guards against a drain that ends while tasks still run."""
+    world = World()
+    world.membership.on_heartbeat(beat("a1", 1, load=Load(2, 1)))
+    (condition,) = world.membership.conditions(Kind.ZONE, ZONE)
+    assert not condition.status and condition.reason == "3 tasks on 1 agents"
+    assert world.membership.conditions(Kind.UPSTREAM, "a2")[0].status
+    assert world.membership.conditions(Kind.TEAM, "a1") == []
