Match the ledger to grants with attempts

Homes number their grants and take NOT_STARTED as a refusal of every later start. The fence of a query is therefore permanent and refuses with CANCELLED, which makes the home look elsewhere; a refusal names the attempt, and repetitions of it are refused.

--- a/snipewell/ledger.py
+++ b/snipewell/ledger.py
@@ -7,7 +7,8 @@
 - A start with an epoch below the fence of its partition is refused; every message with a higher
   epoch raises the fence.
 - A query about a task without a record leaves a fence for this task, so that a start that was
-  overtaken by the query is refused when it arrives.
+  overtaken by the query is refused when it arrives, as is every later one.
+- A repetition of a start that was refused lately is refused again.
 """
 
 from __future__ import annotations
@@ -34,9 +35,11 @@
     TaskRecord,
     TaskState,
 )
-from .record import FOREVER, Call, RecordLimits, Records, StartRecord
+from .record import Call, RecordLimits, Records, StartRecord
 
 _MAX_REASON = 300
+_REFUSALS = 4_096
+"""Latest refusals kept; a repetition can be late only by what a connection holds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +122,7 @@
         self._limits = limits
         self._fences: dict[Partition, Epoch] = {}
         self._queue: deque[tuple[ScopedKey, TaskIndex]] = deque()
+        self._refused: dict[tuple[ScopedKey, TaskIndex], tuple[Epoch, int]] = {}
         self._suspended_until_ms = 0.0
 
     def load(self) -> Load:
@@ -138,9 +142,9 @@
             return [self._answer_repeated(start, record)]
         reason = self._refusal_of(start, record, permit_ok)
         if reason is not None:
-            return [self._refuse(start.entry, start, reason)]
+            return [self._refuse(start.entry, start, (start.epoch, start.attempt), reason)]
         deadline_at_ms = self._clock.now_ms() + start.deadline_ms
-        call = Call(start, start.entry, deadline_at_ms)
+        call = Call(start, start.entry, start.attempt, deadline_at_ms)
         record = StartRecord(TaskState.QUEUED, start.epoch, call=call)
         self.records.put(start.key, start.partition, start.task, record, deadline_at_ms)
         if self._has_slot():
@@ -152,12 +156,13 @@
         self, start: Start, fence: StartRecord | None, permit_ok: bool
     ) -> RefusalReason | None:
         """Return why a task without a start record may not start, or None if it may."""
-        if fence is not None and fence.epoch == FOREVER:
-            return RefusalReason.CANCELLED
         if start.epoch < self._fences[start.partition]:
             return RefusalReason.STALE_EPOCH
-        if fence is not None and start.epoch <= fence.epoch:
-            return RefusalReason.STALE_EPOCH
+        if fence is not None:
+            return RefusalReason.CANCELLED
+        refused = self._refused.get((start.key, start.task))
+        if refused is not None and (start.epoch, start.attempt) <= refused:
+            return RefusalReason.BUSY
         if self.draining:
             return RefusalReason.DRAINING
         if start.deadline_ms <= 0:
@@ -171,9 +176,9 @@
         return None if self.records.has_room() else RefusalReason.FULL
 
     def _answer_repeated(self, start: Start, record: StartRecord) -> Send:
-        self._adopt(record, start.entry, start.epoch)
+        self._adopt(record, start.entry, start.epoch, start.attempt)
         report = record.report(start.key, start.task)
-        if record.call is None:
+        if record.call is None and record.body is not None:
             return Send(start.entry, self._result(report, 0.0))
         reply = QueryReply(start.key, self._agent, self._incarnation, [report])
         return Send(start.entry, reply)
@@ -257,7 +262,7 @@
             record = self.records.find(query.key, task)
             if record is None or (is_stale and record.is_fence):
                 continue
-            self._adopt(record, entry, query.epoch)
+            self._adopt(record, entry, query.epoch, 0)
             reports.append(record.report(query.key, task))
         if not reports:
             return []
@@ -274,7 +279,7 @@
             return []
         reports = []
         for key, task, record in self.records.of_partition(partition):
-            self._adopt(record, entry, epoch)
+            self._adopt(record, entry, epoch, 0)
             reports.append(record.report(key, task))
         return [Send(entry, Collected(partition, epoch, self._agent, self._incarnation, reports))]
 
@@ -344,23 +349,33 @@
         """
         if reason in (RefusalReason.CANCELLED, RefusalReason.EXPIRED):
             record.state, record.call = TaskState.NOT_STARTED, None
-            record.epoch = FOREVER if reason is RefusalReason.CANCELLED else record.epoch
         else:
             self.records.remove(call.start.key, call.start.task)
-        return self._refuse(call.entry, call.start, reason)
-
-    def _refuse(self, entry: EntryId, start: Start, reason: RefusalReason) -> Send:
+        return self._refuse(call.entry, call.start, (record.epoch, call.attempt), reason)
+
+    def _refuse(
+        self, entry: EntryId, start: Start, grant: tuple[Epoch, int], reason: RefusalReason
+    ) -> Send:
+        """Refuse a grant, named by its epoch and attempt, and remember that for a while."""
+        name = (start.key, start.task)
+        self._refused[name] = max(grant, self._refused.pop(name, grant))
+        if len(self._refused) > _REFUSALS:
+            del self._refused[next(iter(self._refused))]
         epoch = self._fences[start.partition]
-        return Send(entry, Refused(start.key, start.task, reason, epoch, self.load()))
+        return Send(entry, Refused(start.key, start.task, reason, epoch, self.load(), grant[1]))
 
     def _result(self, report: TaskRecord, elapsed_ms: float) -> Result:
         key, task, state = report.key, report.task, report.state
         return Result(key, task, state, report.body, report.reason, elapsed_ms, self.load())
 
-    def _adopt(self, record: StartRecord, entry: EntryId, epoch: Epoch) -> None:
+    def _adopt(self, record: StartRecord, entry: EntryId, epoch: Epoch, attempt: int) -> None:
         """Let the home that asks about an unended task get its result, unless it is outdated."""
-        if record.call is not None and epoch >= record.epoch:
-            record.epoch, record.call.entry = epoch, entry
+        call = record.call
+        if call is None or epoch < record.epoch:
+            return
+        if epoch > record.epoch:
+            record.epoch, call.entry, call.attempt = epoch, entry, attempt
+        call.attempt = max(call.attempt, attempt)
 
     def _raise_fence(self, partition: Partition, epoch: Epoch) -> None:
         if epoch > self._fences.get(partition, -1):
--- a/snipewell/record.py
+++ b/snipewell/record.py
@@ -15,9 +15,6 @@
 from .ids import EntryId, Epoch, Partition, ScopedKey, TaskIndex
 from .message import Start, TaskRecord, TaskState
 
-FOREVER = Epoch(2**62)
-"""The fence of a cancelled task: no epoch starts it."""
-
 
 @dataclass(frozen=True, slots=True)
 class RecordLimits:
@@ -35,10 +32,15 @@
 
 @dataclass(slots=True)
 class Call:
-    """What is needed of a task until it ends; ``entry`` is the home that gets the result."""
+    """What is needed of a task until it ends.
+
+    ``entry`` is the home that gets the result, ``attempt`` the number under which it knows the
+    grant; a home that took over from another has granted nothing itself and counts from 0.
+    """
 
     start: Start
     entry: EntryId
+    attempt: int
     deadline_at_ms: float
     started_ms: float = 0.0
     cancelled: bool = False
@@ -48,7 +50,7 @@
 class StartRecord:
     """One task. ``body`` is None if it was dropped; ``call`` is None once the task ended.
 
-    With state NOT_STARTED it is a fence: no start of an epoch up to ``epoch`` is accepted.
+    With state NOT_STARTED it is a fence: the task never starts here.
     """
 
     state: TaskState
@@ -63,10 +65,11 @@
         return self.state is TaskState.NOT_STARTED
 
     def report(self, key: ScopedKey, task: TaskIndex) -> TaskRecord:
-        """Return the record as it is sent; an answer whose body was dropped is unknown."""
+        """Return the record as it is sent."""
         if self.body is None:
-            return TaskRecord(key, task, TaskState.UNKNOWN, b"", "the result body was dropped")
-        return TaskRecord(key, task, self.state, self.body, self.reason)
+            return TaskRecord(key, task, self.state, reason="the result body was dropped")
+        kept = self.state is TaskState.OK
+        return TaskRecord(key, task, self.state, self.body, self.reason, kept)
 
 
 @dataclass(slots=True)
@@ -137,14 +140,11 @@
     def fence(
         self, key: ScopedKey, partition: Partition, tasks: Iterable[TaskIndex], epoch: Epoch
     ) -> None:
-        """Fence the tasks that have no start record up to ``epoch``, as far as there is room."""
+        """Fence the tasks that have no record, as far as there is room."""
         for task in tasks:
-            record = self.find(key, task)
-            if record is None and self.count < self._limits.fences:
+            if self.find(key, task) is None and self.count < self._limits.fences:
                 fence = StartRecord(TaskState.NOT_STARTED, epoch)
                 self.put(key, partition, task, fence, self._clock.now_ms())
-            elif record is not None and record.is_fence:
-                record.epoch = max(record.epoch, epoch)
 
     def touch(self, key: ScopedKey) -> None:
         """Count the window of ``key`` from now."""
