--- a/snipewell/admission.py
+++ b/snipewell/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
@@ -18,10 +19,12 @@
     """Bounds of admission. ``max_waiting`` counts tasks; times are in milliseconds.
 
     For ``settle_ms`` after the start of an entry, a missing worker is no proof that there is none.
+    Shorter work that will arrive during a bulk job is taken from the last ``rate_window_ms``.
     """
 
     max_waiting: int = 200_000
     settle_ms: float = 2_000
+    rate_window_ms: float = 10_000
     min_retry_after_ms: int = 200
     max_retry_after_ms: int = 60_000
 
@@ -39,6 +42,29 @@
     run_ms: float
 
 
+class ArrivalRate:
+    """Expected work that arrives per millisecond, averaged over about ``window_ms``."""
+
+    def __init__(self, window_ms: float, now_ms: float) -> None:
+        self._window_ms = window_ms
+        self._sum_ms = 0.0
+        self._at_ms = now_ms
+
+    def add(self, work_ms: float, now_ms: float) -> None:
+        """Take in ``work_ms`` of admitted work."""
+        self._decay(now_ms)
+        self._sum_ms += work_ms
+
+    def rate(self, now_ms: float) -> float:
+        """Return the milliseconds of work that arrive in a millisecond."""
+        self._decay(now_ms)
+        return self._sum_ms / self._window_ms
+
+    def _decay(self, now_ms: float) -> None:
+        self._sum_ms *= math.exp((self._at_ms - now_ms) / self._window_ms)
+        self._at_ms = now_ms
+
+
 def find_impossible(
     submission: Submission,
     service: ServiceSpec | None,
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .admission import AdmissionLimits, Demand, find_impossible, find_refusal
+from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
 from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
@@ -99,6 +99,7 @@
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
         self._homes = 1
+        self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
         self._started_ms = clock.now_ms()
         self._assessed_ms = self._started_ms
@@ -154,6 +155,8 @@
             arrived = self._returned.pop((task.key, task.task), now)
             expected_ms = self._estimator.expect_service_ms(task.service)
             self._backlog.put(task, arrived, expected_ms)
+            if self._backlog.size_of(task.job_size) is not Size.BULK:
+                self._short_work.add(expected_ms, now)
 
     def withdraw(self, key: ScopedKey) -> None:
         """Remove the waiting tasks of ``key``; granted ones end by ``on_result`` or otherwise."""
@@ -354,6 +357,8 @@
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
         slots = sum(state.view.slots for state in self._agents.values() if state.view.in_service)
         rate = max(1.0, len(self._running), slots / self._homes)
+        if self._backlog.size_of(count) is Size.BULK:
+            rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
             self._backlog.waiting,
             self._backlog.waiting_of(submission.team) + self._team_running.get(submission.team, 0),
