Order jobs by their virtual end instead of sharing task by task

Cause: with all teams' rebuilds sharing task by task, most of them end late under overload and their work is wasted. Change: each size of a team is a flow; the flow whose first job would end first if all ran at once goes first, so a job that has begun is finished.

--- a/snipewell/backlog.py
+++ b/snipewell/backlog.py
@@ -1,12 +1,14 @@
 """Tasks that wait at their home: order between teams and jobs, withdrawal, bounds.
 
-Teams share capacity by start-time fair queueing: each grant advances the team's virtual time by
-the expected work divided by the team's weight, and the team that is furthest behind goes first.
-Within a team, single requests, small jobs and bulk jobs share in the same way by fixed weights:
-short work goes ahead of a rebuild, but a stream of it cannot keep the rebuild from running. Among
-jobs of one size, the one with the least expected work left goes first, because a job ends only
-when its last task ends. Its rank is its arrival time plus ``ageing`` times the work left, so jobs
-that arrived more than that later cannot overtake it.
+The single requests, small jobs and bulk jobs of a team are one flow each. Flows share capacity by
+weight, in the order in which their first jobs would end if all flows ran at once: each grant
+advances the flow's virtual time by the expected work over its weight, and the flow with the least
+virtual time plus work left in its first job goes first. A job, once begun, is therefore finished
+before the next of the same length, since it is worth nothing until its last task ends, and no flow
+gets less than its share in the long run.
+
+Within a flow, the job with the least expected work left goes first. Its rank is its arrival time
+plus ``ageing`` times the work left, so jobs that arrived more than that later cannot overtake it.
 
 Tasks are kept by placement class, the set of tasks that may run on the same agents. When a class
 finds no agent, all its tasks are passed over in one step, however many teams and jobs they have.
@@ -26,6 +28,7 @@
 from .message import Resources
 
 _MAX_LEAD_MS = 500.0
+_EPSILON_MS = 1e-6
 
 
 class Size(Enum):
@@ -68,37 +71,40 @@
 
 
 @dataclass(slots=True)
-class SizeShare:
-    """The waiting jobs of one size in a team."""
+class Flow:
+    """The waiting jobs of one size in a team; virtual time is expected work over weight."""
 
+    weight: float
     waiting: int = 0
     work_ms: float = 0.0
     virtual_ms: float = 0.0
 
 
-@dataclass(slots=True)
 class TeamShare:
-    """A team's place in the fair order: virtual time in expected milliseconds over weight."""
+    """A team's weight and flows."""
 
-    weight: int = 1
-    virtual_ms: float = 0.0
-    waiting: int = 0
-    size_virtual_ms: float = 0.0
-    sizes: dict[Size, SizeShare] = field(
-        default_factory=lambda: {size: SizeShare() for size in Size}
-    )
+    def __init__(self) -> None:
+        self.weight = 1
+        self.waiting = 0
+        self.flows = {size: Flow(SIZE_WEIGHTS[size]) for size in Size}
+
+    def set_weight(self, weight: int) -> None:
+        """Set the team's share under contention."""
+        self.weight = weight
+        for size, flow in self.flows.items():
+            flow.weight = weight * SIZE_WEIGHTS[size]
 
     def work_ms(self) -> float:
         """Return the expected work that waits."""
-        return sum(share.work_ms for share in self.sizes.values())
+        return sum(flow.work_ms for flow in self.flows.values())
 
 
 @dataclass(slots=True)
 class _ClassQueue:
     """The waiting batches of one placement class, by team.
 
-    ``teams`` orders the teams by virtual time; an entry counts only if its number is the team's in
-    ``current``, so a team whose virtual time falls gets a new entry in place of the old one.
+    ``teams`` orders the teams by the virtual end of their first job; an entry counts only if its
+    number is the team's in ``current``, so a team whose order falls gets a new entry.
     """
 
     teams: list[tuple[float, int, TeamName]] = field(default_factory=list)
@@ -136,7 +142,7 @@
         share = self._share(team)
         if share.waiting:
             self._active_weight += weight - share.weight
-        share.weight = weight
+        share.set_weight(weight)
 
     def waiting_of(self, team: TeamName) -> int:
         """Return how many tasks of ``team`` wait."""
@@ -150,12 +156,12 @@
         """
         size = self.size_of(job_size)
         share = self._teams.get(team) or TeamShare()
-        need_ms = work_ms + share.sizes[size].work_ms
-        weight = SIZE_WEIGHTS[size]
+        own = share.flows[size]
+        need_ms = work_ms + own.work_ms
         team_ms = need_ms + sum(
-            min(other.work_ms, need_ms * SIZE_WEIGHTS[name] / weight)
-            for name, other in share.sizes.items()
-            if name is not size
+            min(other.work_ms, need_ms * other.weight / own.weight)
+            for other in share.flows.values()
+            if other is not own
         )
         others_ms = max(0.0, self.work_ms - share.work_ms())
         others_weight = self._active_weight - (share.weight if share.waiting else 0)
@@ -165,15 +171,13 @@
         """Add ``task``, which arrived at ``arrived_ms`` and should run for ``expected_ms``."""
         share = self._share(task.team)
         batch = self._batch_of(task, arrived_ms, expected_ms)
-        own = share.sizes[batch.placement.size]
-        if not share.waiting:
-            share.virtual_ms = max(share.virtual_ms, self._virtual_ms)
-        if not own.waiting:
-            own.virtual_ms = max(own.virtual_ms, share.size_virtual_ms)
+        flow = share.flows[batch.placement.size]
+        if not flow.waiting:
+            flow.virtual_ms = max(flow.virtual_ms, self._virtual_ms)
         batch.tasks.append(task)
         self._count(batch, 1, batch.expected_ms)
         if len(batch.tasks) == 1:
-            self._push(batch, share)
+            self._push(batch)
 
     def withdraw(self, key: ScopedKey) -> int:
         """Remove the waiting tasks of ``key`` and return how many they were.
@@ -189,7 +193,7 @@
     def best(self, blocked: Container[PlacementClass], now_ms: float) -> Batch | None:
         """Return the batch whose task should be placed next, outside ``blocked``, or None."""
         best: Batch | None = None
-        best_order = (0.0, 0.0, 0.0)
+        best_end_ms = 0.0
         drained = []
         for placement, queue in self._classes.items():
             if placement in blocked:
@@ -198,11 +202,9 @@
             if batch is None:
                 drained.append(placement)
                 continue
-            share = self._teams[batch.team]
-            size_ms = share.sizes[placement.size].virtual_ms
-            order = (share.virtual_ms, size_ms, batch.rank(self._ageing))
-            if best is None or order < best_order:
-                best, best_order = batch, order
+            end_ms = self._virtual_end(batch)
+            if best is None or end_ms < best_end_ms:
+                best, best_end_ms = batch, end_ms
         for placement in drained:
             del self._classes[placement]
         return best
@@ -212,13 +214,9 @@
         self._count(batch, 0, (expected_ms - batch.expected_ms) * len(batch.tasks))
         batch.expected_ms = expected_ms
         task = batch.tasks.popleft()
-        size = batch.placement.size
-        share = self._teams[batch.team]
-        own = share.sizes[size]
-        self._virtual_ms = max(self._virtual_ms, share.virtual_ms)
-        share.size_virtual_ms = max(share.size_virtual_ms, own.virtual_ms)
-        share.virtual_ms += expected_ms / share.weight
-        own.virtual_ms += expected_ms / SIZE_WEIGHTS[size]
+        flow = self._flow(batch)
+        self._virtual_ms = max(self._virtual_ms, flow.virtual_ms)
+        flow.virtual_ms += expected_ms / flow.weight
         self._count(batch, -1, -expected_ms)
         if batch.tasks:
             heap = self._classes[batch.placement].batches[batch.team]
@@ -227,24 +225,33 @@
             self._forget(batch)
         return task
 
-    def correct(self, team: TeamName, expected_ms: float, actual_ms: float) -> None:
-        """Charge ``team`` the time that a task took instead of what was expected.
+    def correct(self, team: TeamName, job_size: int, expected_ms: float, actual_ms: float) -> None:
+        """Charge a flow the time that a task took instead of what was expected.
 
         Without this, a team whose services declare times that are far too long would be kept from
-        its share. The charge is bounded: a team that used capacity which nobody else wanted would
+        its share. The charge is bounded: a flow that used capacity which nobody else wanted would
         otherwise wait until all others have used as much.
         """
-        share = self._teams[team]
-        ahead_ms = share.virtual_ms + (actual_ms - expected_ms) / share.weight
-        share.virtual_ms = min(ahead_ms, max(share.virtual_ms, self._virtual_ms + _MAX_LEAD_MS))
-        if actual_ms < expected_ms and share.waiting:
-            for queue in self._classes.values():
-                if team in queue.batches:
-                    self._place_team(queue, team, share.virtual_ms)
-
-    def _place_team(self, queue: _ClassQueue, team: TeamName, virtual_ms: float) -> None:
+        size = self.size_of(job_size)
+        flow = self._share(team).flows[size]
+        ahead_ms = flow.virtual_ms + (actual_ms - expected_ms) / flow.weight
+        flow.virtual_ms = min(ahead_ms, max(flow.virtual_ms, self._virtual_ms + _MAX_LEAD_MS))
+        if actual_ms < expected_ms and flow.waiting:
+            for placement, queue in self._classes.items():
+                if placement.size is size and queue.batches.get(team):
+                    self._place_team(queue, team, self._virtual_end(queue.batches[team][0][2]))
+
+    def _flow(self, batch: Batch) -> Flow:
+        return self._teams[batch.team].flows[batch.placement.size]
+
+    def _virtual_end(self, batch: Batch) -> float:
+        """Return the virtual time at which the job would end if all flows ran at once."""
+        flow = self._flow(batch)
+        return flow.virtual_ms + len(batch.tasks) * batch.expected_ms / flow.weight
+
+    def _place_team(self, queue: _ClassQueue, team: TeamName, end_ms: float) -> None:
         number = queue.current[team] = next(self._sequence)
-        heapq.heappush(queue.teams, (virtual_ms, number, team))
+        heapq.heappush(queue.teams, (end_ms, number, team))
 
     def _share(self, team: TeamName) -> TeamShare:
         return self._teams.setdefault(team, TeamShare())
@@ -263,31 +270,30 @@
         batches.append(batch)
         return batch
 
-    def _push(self, batch: Batch, share: TeamShare) -> None:
+    def _push(self, batch: Batch) -> None:
         queue = self._classes.setdefault(batch.placement, _ClassQueue())
-        heap = queue.batches.get(batch.team)
-        if heap is None:
-            heap = queue.batches[batch.team] = []
-            self._place_team(queue, batch.team, share.virtual_ms)
+        heap = queue.batches.setdefault(batch.team, [])
         heapq.heappush(heap, (batch.rank(self._ageing), next(self._sequence), batch))
+        if heap[0][2] is batch:
+            self._place_team(queue, batch.team, self._virtual_end(batch))
 
     def _head(self, queue: _ClassQueue, now_ms: float) -> Batch | None:
-        """Return the first batch of the team that is furthest behind in ``queue``."""
+        """Return the first batch of the team whose job would end first in ``queue``."""
         while queue.teams:
-            virtual_ms, number, team = queue.teams[0]
+            end_ms, number, team = queue.teams[0]
             if queue.current.get(team) != number:
                 heapq.heappop(queue.teams)
                 continue
             heap = queue.batches[team]
             self._drop_ended(heap, now_ms)
-            current_ms = self._teams[team].virtual_ms
             if not heap:
                 heapq.heappop(queue.teams)
                 del queue.batches[team], queue.current[team]
-            elif current_ms > virtual_ms:
-                heapq.heapreplace(queue.teams, (current_ms, number, team))
-            else:
+                continue
+            present_ms = self._virtual_end(heap[0][2])
+            if present_ms <= end_ms + _EPSILON_MS:
                 return heap[0][2]
+            heapq.heapreplace(queue.teams, (present_ms, number, team))
         return None
 
     def _drop_ended(self, heap: list[tuple[float, int, Batch]], now_ms: float) -> None:
@@ -317,7 +323,7 @@
     def _count(self, batch: Batch, tasks: int, work_ms: float) -> None:
         """Add to the waiting tasks and their expected work, or take away."""
         share = self._teams[batch.team]
-        own = share.sizes[batch.placement.size]
+        own = share.flows[batch.placement.size]
         waited = share.waiting
         share.waiting += tasks
         own.waiting += tasks
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -186,7 +186,7 @@
         holder.report(load, now)
         if run is None or state is TaskState.CANCELLED:
             return
-        self._backlog.correct(run.ready.team, run.charged_ms, elapsed_ms)
+        self._correct(run, elapsed_ms)
         service, upstream = run.ready.service, holder.view.upstream
         if state is TaskState.OK:
             self._estimator.learn(service, upstream, elapsed_ms, now)
@@ -198,7 +198,7 @@
         """Take in a refusal. The home enqueues the task again if it may still run."""
         run = self._end(key, task)
         if run is not None:
-            self._backlog.correct(run.ready.team, run.charged_ms, 0.0)
+            self._correct(run, 0.0)
             self._returned[key, task] = run.arrived_ms
         self.on_started(agent, load)
 
@@ -326,6 +326,9 @@
             reason = "probe"
         return Grant(task.key, task.task, view.agent, view.incarnation, reason)
 
+    def _correct(self, run: _Running, actual_ms: float) -> None:
+        self._backlog.correct(run.ready.team, run.ready.job_size, run.charged_ms, actual_ms)
+
     def _assess(self, now_ms: float) -> None:
         """Learn from tasks that are overdue, and eject or probe upstreams."""
         self._assessed_ms = now_ms
