--- a/snipewell/home.py
+++ b/snipewell/home.py
@@ -96,13 +96,13 @@
     ) -> Homes:
         """Return the controller of ``entry`` in ``zone``.
 
+        It proposes nothing until ``on_entries`` has named ``entry``: an entry that knows only
+        itself would take every partition over, and declare a gap.
         ``budget`` is asked before each retry of an idempotent request; by default there is none.
         """
         runs = SubmissionTable(limits.max_records, limits.max_refusals, limits.max_bytes)
         protections = protections or Protections()
-        homes = cls(HomeContext(entry, clock, rng, limits, protections, budget, runs))
-        homes._live = {entry: zone}
-        return homes
+        return cls(HomeContext(entry, clock, rng, limits, protections, budget, runs))
 
     def home_of(self, key: ScopedKey) -> EntryId | None:
         """Return the entry that the table names as home of ``key``, None without a table."""
@@ -316,8 +316,14 @@
         most = self._limits.partitions if self._draining else self._limits.max_moves
         leaving = self._drained_entries()
         while len(moving) < most:
-            move = plan_move(table, self._context.entry, self._live, leaving, moving)
-            if move is None or self._tenures[move[0]].phase is not Phase.SERVING:
+            movable = [
+                partition
+                for partition, tenure in self._tenures.items()
+                if tenure.handover is None and tenure.phase is Phase.SERVING
+            ]
+            entry = self._context.entry
+            move = plan_move(table, entry, self._live, leaving, movable, len(moving))
+            if move is None:
                 break
             partition, successor = move
             moving.append(partition)
--- a/snipewell/partition.py
+++ b/snipewell/partition.py
@@ -171,20 +171,22 @@
     home: EntryId,
     live: Mapping[EntryId, ZoneId],
     draining: Collection[EntryId],
-    moving: Collection[Partition],
+    movable: Collection[Partition],
+    moving: int,
 ) -> tuple[Partition, EntryId] | None:
     """Return a partition that ``home`` should hand over, and to whom, or None if it has its share.
 
+    Only the partitions ``movable`` are considered; ``moving`` is how many others are on their way.
     An entry that drains hands over all. Otherwise a partition moves only to an entry that has at
     least two fewer, and preferably to one that already holds its records.
     """
     homes = count_homes(table.partitions)
-    homes[home] -= len(moving)
+    homes[home] -= moving
     targets = [e for e in live if e != home and e not in draining]
     own = [
         Partition(number)
         for number, entry in enumerate(table.partitions)
-        if entry.home == home and number not in moving
+        if entry.home == home and number in movable
     ]
     if not targets or not own:
         return None
--- /dev/null
+++ b/tests/history.py
@@ -0,0 +1,328 @@
+"""A checker of histories, which names the promises of the design that what happened breaks.
+
+A history is a list of events in order of time, all on one clock in milliseconds. Simulations and
+runs against real processes record the same events and share this checker.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from snipewell.message import TaskState
+from snipewell.outcome import Complete, NotRun, Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Invoked(Event):
+    """A caller sent a request; ``entry`` accepted it."""
+
+    request: str
+    key: str
+    tasks: int
+    idempotent: bool
+    job: bool
+    entry: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Granted(Event):
+    key: str
+    task: int
+    agent: str
+    entry: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Started(Event):
+    """A task's first byte went to its upstream."""
+
+    key: str
+    task: int
+    agent: str
+    zone: str = ""
+    upstream: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ended(Event):
+    key: str
+    task: int
+    agent: str
+    state: TaskState
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered(Event):
+    """The outcome of a request left its home, and reached the caller."""
+
+    request: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneChanged(Event):
+    zone: str
+    in_service: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChanged(Event):
+    upstream: str
+    in_service: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationAccepted(Event):
+    """An operator got the answer that ``revision`` is stored."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationInForce(Event):
+    process: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStarted(Event):
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessExited(Event):
+    """A process ended, by a graceful shutdown or because it failed."""
+
+    process: str
+    graceful: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    promise: str
+    at_ms: float
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How soon operators' changes must be obeyed, from the design's promises."""
+
+    zone_stop_ms: float = 3_000
+    leaving_ms: float = 3_000
+    configuration_ms: float = 19_000
+
+
+@dataclass
+class _Index:
+    events: list[Event]
+    bounds: Bounds
+    invoked: dict[str, Invoked] = field(default_factory=dict)
+    starts: dict[tuple[str, int], list[Started]] = field(default_factory=lambda: defaultdict(list))
+    ended: dict[tuple[str, int], list[Ended]] = field(default_factory=lambda: defaultdict(list))
+    answers: dict[str, list[Answered]] = field(default_factory=lambda: defaultdict(list))
+    key_starts: dict[str, list[Started]] = field(default_factory=lambda: defaultdict(list))
+    shapes: dict[str, Invoked] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        for event in self.events:
+            match event:
+                case Invoked():
+                    self.invoked[event.request] = event
+                    self.shapes.setdefault(event.key, event)
+                case Started():
+                    self.starts[event.key, event.task].append(event)
+                    self.key_starts[event.key].append(event)
+                case Ended():
+                    self.ended[event.key, event.task].append(event)
+                case Answered():
+                    self.answers[event.request].append(event)
+
+
+def _check_at_most_once(index: _Index) -> Iterator[Violation]:
+    for (key, task), starts in index.starts.items():
+        shape = index.shapes.get(key)
+        if shape is None:
+            yield Violation("at-most-once", starts[0].at_ms, f"{key}/{task}: nobody asked for it")
+        elif len(starts) > 1 and not (shape.idempotent and not shape.job):
+            agents = [start.agent for start in starts]
+            yield Violation("at-most-once", starts[1].at_ms, f"{key}/{task} started at {agents}")
+
+
+def _check_non_idempotent(index: _Index) -> Iterator[Violation]:
+    for (key, task), starts in index.starts.items():
+        shape = index.shapes.get(key)
+        if len(starts) > 1 and shape is not None and not shape.idempotent:
+            yield Violation("non-idempotent", starts[1].at_ms, f"{key}/{task} ran {len(starts)}x")
+
+
+def _check_whole_or_failed(index: _Index) -> Iterator[Violation]:
+    for request, answers in index.answers.items():
+        asked = index.invoked.get(request)
+        for answer in answers:
+            if asked is None or not isinstance(answer.outcome, Complete):
+                continue
+            count = len(answer.outcome.results)
+            if count != asked.tasks:
+                text = f"{request}: {count} results of {asked.tasks}"
+                yield Violation("whole-or-failed", answer.at_ms, text)
+            for task in range(asked.tasks):
+                ends = index.ended[asked.key, task]
+                if not any(e.state is TaskState.OK and e.at_ms <= answer.at_ms for e in ends):
+                    text = f"{request}: complete, but task {task} has not succeeded"
+                    yield Violation("whole-or-failed", answer.at_ms, text)
+
+
+def _check_own_answer(index: _Index) -> Iterator[Violation]:
+    for request, answers in index.answers.items():
+        asked = index.invoked.get(request)
+        if asked is None or len(answers) > 1:
+            text = f"{request}: {len(answers)} answers, asked: {asked is not None}"
+            yield Violation("own-answer", answers[0].at_ms, text)
+            continue
+        outcome = answers[0].outcome
+        if isinstance(outcome, Complete):
+            for task, body in enumerate(outcome.results):
+                if body not in [e.body for e in index.ended[asked.key, task]]:
+                    text = f"{request}: result {task} is not its own: {body!r}"
+                    yield Violation("own-answer", answers[0].at_ms, text)
+
+
+def _check_not_run_true(index: _Index) -> Iterator[Violation]:
+    for request, answers in index.answers.items():
+        asked = index.invoked.get(request)
+        for answer in answers:
+            if asked is None or not isinstance(answer.outcome, NotRun):
+                continue
+            until_ms = answer.at_ms + answer.outcome.retry_after_ms
+            for start in index.key_starts[asked.key]:
+                if start.at_ms < until_ms:
+                    text = f"{request}: refused as not run at {answer.at_ms:.0f}, but started"
+                    yield Violation("not-run-true", start.at_ms, text)
+                    break
+
+
+def _check_out_of_service(
+    promise: str,
+    events: Iterable[Event],
+    bound_ms: float,
+    changed: Callable[[Event], tuple[str, bool] | None],
+    place: Callable[[Started], str],
+) -> Iterator[Violation]:
+    out_since: dict[str, float] = {}
+    for event in events:
+        change = changed(event)
+        if change is not None:
+            name, in_service = change
+            if in_service:
+                out_since.pop(name, None)
+            else:
+                out_since.setdefault(name, event.at_ms)
+        elif isinstance(event, Started):
+            since_ms = out_since.get(place(event))
+            if since_ms is not None and event.at_ms > since_ms + bound_ms:
+                late_ms = event.at_ms - since_ms
+                text = (
+                    f"{event.key}/{event.task} started {late_ms:.0f} ms after {place(event)} left"
+                )
+                yield Violation(promise, event.at_ms, text)
+
+
+def _check_zone_stop(index: _Index) -> Iterator[Violation]:
+    return _check_out_of_service(
+        "zone-stop",
+        index.events,
+        index.bounds.zone_stop_ms,
+        lambda e: (e.zone, e.in_service) if isinstance(e, ZoneChanged) else None,
+        lambda start: start.zone,
+    )
+
+
+def _check_leaving_upstream(index: _Index) -> Iterator[Violation]:
+    return _check_out_of_service(
+        "leaving-upstream",
+        index.events,
+        index.bounds.leaving_ms,
+        lambda e: (e.upstream, e.in_service) if isinstance(e, UpstreamChanged) else None,
+        lambda start: start.upstream,
+    )
+
+
+def _check_clean_shutdown(index: _Index) -> Iterator[Violation]:
+    for event in index.events:
+        if not isinstance(event, ProcessExited) or not event.graceful:
+            continue
+        for request, asked in index.invoked.items():
+            if asked.entry == event.process and asked.at_ms <= event.at_ms:
+                answers = index.answers.get(request, [])
+                if not any(answer.at_ms <= event.at_ms for answer in answers):
+                    text = f"{event.process} exited with {request} in flight"
+                    yield Violation("clean-shutdown", event.at_ms, text)
+        for (key, task), starts in index.starts.items():
+            running = [s for s in starts if s.agent == event.process and s.at_ms <= event.at_ms]
+            ends = [
+                e
+                for e in index.ended[key, task]
+                if e.agent == event.process and e.at_ms <= event.at_ms
+            ]
+            if len(running) > len(ends):
+                text = f"{event.process} exited while {key}/{task} ran"
+                yield Violation("clean-shutdown", event.at_ms, text)
+
+
+def _check_config_forward(index: _Index) -> Iterator[Violation]:
+    in_force: dict[str, list[ConfigurationInForce]] = defaultdict(list)
+    alive: dict[str, tuple[float, float]] = {}
+    last_ms = index.events[-1].at_ms if index.events else 0.0
+    for event in index.events:
+        match event:
+            case ProcessStarted(at_ms=at_ms, process=process):
+                alive[process] = (at_ms, float("inf"))
+            case ProcessExited(at_ms=at_ms, process=process):
+                alive[process] = (alive.get(process, (0.0, 0.0))[0], at_ms)
+            case ConfigurationInForce(process=process, revision=revision):
+                if in_force[process] and in_force[process][-1].revision > revision:
+                    text = f"{process} went back to revision {revision}"
+                    yield Violation("config-forward", event.at_ms, text)
+                in_force[process].append(event)
+    for event in index.events:
+        if not isinstance(event, ConfigurationAccepted):
+            continue
+        due_ms = event.at_ms + index.bounds.configuration_ms
+        for process, (since_ms, until_ms) in alive.items():
+            if since_ms > event.at_ms or until_ms < due_ms or due_ms > last_ms:
+                continue
+            seen = [e for e in in_force[process] if e.at_ms <= due_ms]
+            if not any(e.revision >= event.revision for e in seen):
+                text = f"{process} has not reached revision {event.revision}"
+                yield Violation("config-forward", due_ms, text)
+
+
+CHECKS: dict[str, Callable[[_Index], Iterator[Violation]]] = {
+    "at-most-once": _check_at_most_once,
+    "whole-or-failed": _check_whole_or_failed,
+    "zone-stop": _check_zone_stop,
+    "own-answer": _check_own_answer,
+    "not-run-true": _check_not_run_true,
+    "non-idempotent": _check_non_idempotent,
+    "leaving-upstream": _check_leaving_upstream,
+    "clean-shutdown": _check_clean_shutdown,
+    "config-forward": _check_config_forward,
+}
+
+
+def check_history(events: Iterable[Event], bounds: Bounds | None = None) -> list[Violation]:
+    """Return every violation of a promise in ``events``, in order of time."""
+    ordered = sorted(events, key=lambda event: event.at_ms)
+    index = _Index(ordered, bounds or Bounds())
+    found = [violation for check in CHECKS.values() for violation in check(index)]
+    return sorted(found, key=lambda violation: violation.at_ms)
