--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .admission import AdmissionLimits, Demand, find_impossible, find_refusal
+from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
 from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
@@ -99,6 +99,7 @@
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
         self._homes = 1
+        self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
         self._started_ms = clock.now_ms()
         self._assessed_ms = self._started_ms
@@ -154,6 +155,8 @@
             arrived = self._returned.pop((task.key, task.task), now)
             expected_ms = self._estimator.expect_service_ms(task.service)
             self._backlog.put(task, arrived, expected_ms)
+            if self._backlog.size_of(task.job_size) is not Size.BULK:
+                self._short_work.add(expected_ms, now)
 
     def withdraw(self, key: ScopedKey) -> None:
         """Remove the waiting tasks of ``key``; granted ones end by ``on_result`` or otherwise."""
@@ -183,7 +186,7 @@
         holder.report(load, now)
         if run is None or state is TaskState.CANCELLED:
             return
-        self._backlog.correct(run.ready.team, run.charged_ms, elapsed_ms)
+        self._correct(run, elapsed_ms)
         service, upstream = run.ready.service, holder.view.upstream
         if state is TaskState.OK:
             self._estimator.learn(service, upstream, elapsed_ms, now)
@@ -195,7 +198,7 @@
         """Take in a refusal. The home enqueues the task again if it may still run."""
         run = self._end(key, task)
         if run is not None:
-            self._backlog.correct(run.ready.team, run.charged_ms, 0.0)
+            self._correct(run, 0.0)
             self._returned[key, task] = run.arrived_ms
         self.on_started(agent, load)
 
@@ -323,6 +326,9 @@
             reason = "probe"
         return Grant(task.key, task.task, view.agent, view.incarnation, reason)
 
+    def _correct(self, run: _Running, actual_ms: float) -> None:
+        self._backlog.correct(run.ready.team, run.ready.job_size, run.charged_ms, actual_ms)
+
     def _assess(self, now_ms: float) -> None:
         """Learn from tasks that are overdue, and eject or probe upstreams."""
         self._assessed_ms = now_ms
@@ -349,14 +355,17 @@
         return run
 
     def _demand(self, submission: Submission) -> Demand:
-        slots = sum(s.view.slots for s in self._agents.values() if s.view.in_service)
         run_ms = self._estimator.expect_service_ms(submission.service)
-        own_work = run_ms * (len(submission.tasks) - 1)
-        rate = max(1.0, slots / self._homes)
+        count = len(submission.tasks)
+        work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
+        slots = sum(state.view.slots for state in self._agents.values() if state.view.in_service)
+        rate = max(1.0, len(self._running), slots / self._homes)
+        if self._backlog.size_of(count) is Size.BULK:
+            rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
             self._backlog.waiting,
             self._backlog.waiting_of(submission.team) + self._team_running.get(submission.team, 0),
-            (self._backlog.work_ms + own_work) / rate,
+            max(0.0, work_ms - run_ms) / rate,
             run_ms,
         )
 
