--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -200,6 +200,11 @@
         await self._pool.close()
         self._context.destroy(linger=0)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of local requests that wait for an answer of the core."""
+        return len(self._waiters)
+
     # What the edge asks.
 
     async def ask(self, question: Question, timeout_ms: float) -> Answered | None:
@@ -360,7 +365,7 @@
 
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
-        gauge("waiting_requests", lambda: len(self._waiters))
+        gauge("waiting_requests", lambda: self.waiting_count)
         gauge("connections", lambda: self._server.connection_count)
         gauge("agents", lambda: len(self.core.membership))
         gauge("entries", lambda: len(self.core.entries))
@@ -398,7 +403,7 @@
             await group.join()
         if group.completed is draining:
             return 1 if draining.result else 0
-        waiting = len(daemon._waiters)
-        daemon.log.error("edge", "stopped by a second signal", cut_requests=waiting)
+        cut = daemon.waiting_count
+        daemon.log.error("edge", "stopped by a second signal", cut_requests=cut)
         await daemon.kill()
         return 1
--- a/snipewell/standins/store.py
+++ b/snipewell/standins/store.py
@@ -21,6 +21,7 @@
 from ..outcome import Step
 from ..server import CallerGoneError, HttpServer, ServerLimits
 from ..settings import StoreSettings
+from ..signals import SignalQueue
 from ..web import Request, Response
 from .keyvalue import ConflictError, Faults, KeyValueCore, ValueSizeError
 
@@ -242,7 +243,7 @@
 async def run_store(settings: StoreSettings) -> int:
     """Serve a stand-in until SIGTERM or SIGINT; print its address first."""
     server = StoreServer(StoreStandIn(settings=settings), settings.host, settings.port)
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+    async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
         await server.start()
         print("store listens on {}:{}".format(*server.address), flush=True)
         running = await curio.spawn(server.run)
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -128,7 +128,7 @@
         await cluster.put("services", "dye-test", SERVICE)
         waiting = await curio.spawn(cluster.request, SUBMIT)
         entry = cluster.entries["e1"]
-        await cluster.wait_until(lambda: len(entry._waiters) == 1, "the first request")
+        await cluster.wait_until(lambda: entry.waiting_count == 1, "the first request")
         refused = await cluster.request(SUBMIT)
         assert refused.status == 503 and b'"accepted":false' in refused.body
         await waiting.cancel()
