--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -127,7 +127,7 @@
         self.store = Store(self._pool, settings.store, self.clock, settings.store_timeout_ms)
 
     async def start(self) -> None:
-        """Bind the ports and start all tasks; raise OSError or zmq.ZMQError if a port is in use."""
+        """Bind the ports and start all tasks; raise OSError if a port is in use."""
         settings = self.settings
         await self._server.start(settings.host, settings.http_port)
         self.http_address = "{}:{}".format(*self._server.address)
@@ -136,9 +136,9 @@
             self._router = Router(
                 self._context, self.id, address, self._deliver, self._on_undelivered
             )
-        except zmq.ZMQError:
+        except zmq.ZMQError as error:
             await self._server.stop(0)
-            raise
+            raise OSError(error.errno, f"cannot listen on {address}: {error}") from None
         self._dealers = Dealers(self._context, self.id, self._deliver, self._on_undelivered)
         record = EntryRecord(
             self.id, ZoneId(settings.zone), self.http_address, self._router.address
--- a/snipewell/home.py
+++ b/snipewell/home.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from random import Random
 
@@ -71,6 +72,7 @@
         self._clock = context.clock
         self._limits = context.limits
         self._table: PartitionTable | None = None
+        self._roles: Counter[EntryId] = Counter()
         self._live: dict[EntryId, ZoneId] = {}
         self._leaving: set[EntryId] = set()
         self._tenures: dict[Partition, Tenure] = {}
@@ -118,6 +120,7 @@
         if self._table is not None and table.version <= self._table.version:
             return []
         self._table = table
+        self._roles = count_holders(table.partitions)
         self._propose_at_ms = 0.0
         effects: list[Effect] = []
         now_ms = self._clock.now_ms()
@@ -341,7 +344,7 @@
     def _plan_holders(
         self, partition: Partition, home: EntryId, table: PartitionTable
     ) -> tuple[EntryId, ...]:
-        roles = count_holders(table.partitions)
+        roles = self._roles
         leaving, size = self._drained_entries(), self._limits.holders
         assigned = table.partitions[partition]
         return plan_holders(partition, assigned, home, self._live, roles, size, leaving)
