--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -41,7 +41,7 @@
     Start,
     TaskState,
 )
-from snipewell.outcome import Complete, Outcome, Unknown
+from snipewell.outcome import Complete, Outcome, Step, Unknown
 from snipewell.partition import PartitionTable, plan_table
 from snipewell.peer import EntryRecord
 from snipewell.resource import Kind, ServiceSpec, ZoneSpec
@@ -217,6 +217,9 @@
         fleet.take(
             entry, fleet.entries[entry].on_store_table(PartitionTable(2, planned.partitions))
         )
+    gone = Unknown(Step.RECOVERY, home, "the partition has moved")
+    late = Answer(request, ScopedKey(f"default/k{number}"), gone)
+    fleet.take(first, fleet.entries[first].on_entry_message(home, late))
     del fleet.entries[home]
     fleet.flying = [flying for flying in fleet.flying if flying[0] != home]
     while fleet.flying:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -37,6 +37,8 @@
             except curio.CancelledError:
                 self.cancelled += 1
                 raise
+        if request.path == "/pause":
+            await curio.sleep(0.001)
         if request.path == "/broken":
             raise ValueError("broken")
         if request.path == "/stream":
@@ -218,6 +220,29 @@
     serve(check)
 
 
+def test_stop_takes_a_request_that_arrived_at_the_same_moment() -> None:
+    """Guards against an idle connection that is closed although its request is already here."""
+
+    async def check(server: HttpServer, recorder: Recorder) -> None:
+        for turns in range(6):
+            sock = await curio.open_connection("127.0.0.1", server.address[1])
+            while not server.connection_count:
+                await curio.sleep(0.001)
+            (connection,) = server._connections
+            await curio.sleep(0.005)
+            # The turns let the connection's task see the request before or after it is cancelled.
+            sock._socket.send(GET.replace(b"/a", b"/pause"))
+            for _ in range(turns):
+                await curio.sleep(0)
+            await connection.close_if_idle()
+            assert (await sock.recv(1_000)).endswith(b"/pause")
+            await sock.close()
+            while server.connection_count:
+                await curio.sleep(0.001)
+
+    serve(check)
+
+
 def test_stop_reports_what_it_cut_off() -> None:
     """Guards against a stop that waits without end, or hides what it cut."""
 
