--- /dev/null
+++ b/snipewell/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m snipewell``."""
+
+from .cli import main
+
+main()
