Add the balancer command and a harness of real processes

The stand-in balancer could only run inside another process, so agents could not be started by hand. tests/processes.py starts every role as a process of its own and records the history for the checker; no run yet.

--- a/snipewell/cli.py
+++ b/snipewell/cli.py
@@ -152,6 +152,19 @@
         _run_daemon(self.settings, UpstreamSettings, "standins.upstream", "run_upstream")
 
 
+@cappa.command(name="balancer")
+@dataclass
+class BalancerCommand(_Command):
+    """Run the stand-in of the platform's load balancer."""
+
+    settings: SettingsFile
+
+    def _run(self) -> None:
+        from .settings import BalancerSettings
+
+        _run_daemon(self.settings, BalancerSettings, "standins.balancer", "run_balancer")
+
+
 @cappa.command(name="check")
 @dataclass
 class CheckCommand(_Command):
@@ -301,6 +314,7 @@
         | AgentCommand
         | StoreCommand
         | UpstreamCommand
+        | BalancerCommand
         | CheckCommand
         | ApplyCommand
         | GetCommand
--- a/snipewell/standins/balancer.py
+++ b/snipewell/standins/balancer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from typing import Any
 
 import curio
@@ -10,6 +11,7 @@
 from ..client import HttpPool
 from ..outcome import SnipewellError
 from ..settings import BalancerSettings, split_address
+from ..signals import SignalQueue
 from ..web import Request
 
 _CHUNK_BYTES = 65_536
@@ -131,3 +133,14 @@
             await target.sendall(data)
     except OSError:
         pass
+
+
+async def run_balancer(settings: BalancerSettings) -> int:
+    """Relay connections until SIGTERM or SIGINT; print the address first."""
+    balancer = Balancer(settings)
+    async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        await balancer.start()
+        print(f"balancer listens on {balancer.address}", flush=True)
+        await signals.get()
+        await balancer.stop()
+    return 0
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,393 @@
+"""The system as separate processes on loopback, with faults, for histories of real runs."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from snipewell.message import TaskState
+from snipewell.outcome import (
+    Cancelled,
+    Complete,
+    Conflict,
+    Failed,
+    Impossible,
+    Invalid,
+    NotRun,
+    Outcome,
+    Step,
+    Unknown,
+)
+from tests.history import (
+    Answered,
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    Ended,
+    Event,
+    Invoked,
+    ProcessExited,
+    ProcessStarted,
+    Started,
+    UpstreamChanged,
+    ZoneChanged,
+)
+
+HOST = "127.0.0.1"
+ZONES = ("patan", "bhaktapur", "kirtipur")
+READY_LIMIT_S = 30.0
+
+
+def now_ms() -> float:
+    """Return the monotonic clock that all processes of this machine share."""
+    return time.monotonic_ns() / 1_000_000
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free ports; they are bound together, so that they differ."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+@dataclass
+class Reply:
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def call(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Reply:
+    """Send one HTTP request; raise OSError if no answer comes."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", data=body, headers=dict(headers or {}), method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return Reply(answer.status, dict(answer.headers), answer.read())
+    except urllib.error.HTTPError as error:
+        return Reply(error.code, dict(error.headers), error.read())
+
+
+def read_outcome(reply: Reply, job: bool) -> Outcome:
+    """Return the outcome in an entry's answer."""
+    if reply.status == 200 and not job:
+        return Complete([reply.body])
+    value = reply.json()
+    match value.get("outcome"):
+        case "complete":
+            return Complete([json.dumps(result).encode() for result in value["results"]])
+        case "failed":
+            return Failed(Step(value["step"]), value["peer"], value["reason"])
+        case "not_run":
+            return NotRun(value["reason"], value["retry_after_ms"], reply.status == 429)
+        case "impossible":
+            return Impossible(value["reason"])
+        case "conflict":
+            return Conflict(value["reason"])
+        case "cancelled":
+            return Cancelled(value["started"])
+        case "invalid":
+            return Invalid(reply.status, value["reason"], value.get("field", ""))
+        case "unknown":
+            return Unknown(Step(value["step"]), value.get("peer", ""), value["reason"])
+    raise AssertionError(f"not an outcome: {reply.status} {reply.body!r}")
+
+
+@dataclass
+class Process:
+    name: str
+    command: list[str]
+    log: Path
+    popen: subprocess.Popen[bytes] | None = None
+    lives: int = 0
+
+    @property
+    def life(self) -> str:
+        return f"{self.name}#{self.lives}"
+
+
+@dataclass
+class Cluster:
+    """Store, balancer, entries, agents and upstreams, each a process of its own.
+
+    ``events`` is the history; the upstreams' own logs are added by ``collect``.
+    """
+
+    directory: Path
+    entry_count: int = 3
+    agent_count: int = 6
+    entry_changes: Mapping[str, Any] = field(default_factory=dict)
+    agent_changes: Mapping[str, Any] = field(default_factory=dict)
+    events: list[Event] = field(default_factory=list)
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        ports = iter(free_ports(2 + 2 * self.entry_count + self.agent_count))
+        self.store = f"{HOST}:{next(ports)}"
+        self.balancer = f"{HOST}:{next(ports)}"
+        self.entries = {f"e{n}": f"{HOST}:{next(ports)}" for n in range(self.entry_count)}
+        message_ports = [next(ports) for _ in self.entries]
+        self.upstreams = {f"u{n}": f"{HOST}:{next(ports)}" for n in range(self.agent_count)}
+        self.zone_of = {name: ZONES[n % len(ZONES)] for n, name in enumerate(self.upstreams)}
+        self._lock = threading.Lock()
+        self._add("store", "store", {"host": HOST, "port": _port(self.store)})
+        for n, (name, address) in enumerate(self.entries.items()):
+            settings = {
+                "name": name,
+                "zone": ZONES[n % len(ZONES)],
+                "host": HOST,
+                "store": self.store,
+                "http_port": _port(address),
+                "message_port": message_ports[n],
+                "drain_settle_ms": 300,
+                **self.entry_changes,
+            }
+            self._add(name, "entry", settings)
+        targets = {"port": _port(self.balancer), "entries": list(self.entries.values())}
+        self._add("balancer", "balancer", {"host": HOST, **targets})
+        for n, (name, address) in enumerate(self.upstreams.items()):
+            upstream = {"name": name, "host": HOST, "port": _port(address)}
+            self._add(name, "upstream", upstream)
+            settings = {
+                "name": f"a{n}",
+                "zone": self.zone_of[name],
+                "rack": f"{self.zone_of[name]}-rack",
+                "host": HOST,
+                "upstream": name,
+                "upstream_address": address,
+                "balancer": self.balancer,
+                "services": ["check", "booking"],
+                **self.agent_changes,
+            }
+            self._add(f"a{n}", "agent", settings)
+
+    def _add(self, name: str, role: str, settings: Mapping[str, Any]) -> None:
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        command = [sys.executable, "-m", "snipewell", role, str(path)]
+        self.processes[name] = Process(name, command, self.directory / f"{name}.log")
+
+    def __enter__(self) -> Cluster:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def record(self, event: Event) -> None:
+        with self._lock:
+            self.events.append(event)
+
+    # Processes.
+
+    def start(self) -> None:
+        """Start all processes, apply the resources, and wait until agents may start tasks."""
+        for name in self.processes:
+            self.spawn(name)
+        self.wait_for(lambda: self._all_ready(), "entries ready")
+        for zone in ZONES:
+            self.put("zones", zone, {"in_service": True})
+        self.put("services", "check", {"idempotent": True, "deadline_ms": 8_000})
+        self.put("services", "booking", {"idempotent": False, "deadline_ms": 8_000})
+        self.wait_for(lambda: self._agents_seen() >= self.agent_count, "agents seen by all")
+
+    def spawn(self, name: str) -> None:
+        """Start a process; one that ran before gets a new life."""
+        process = self.processes[name]
+        process.lives += 1
+        with process.log.open("ab") as log:
+            process.popen = subprocess.Popen(
+                process.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+        self.record(ProcessStarted(now_ms(), process.life))
+
+    def kill(self, name: str) -> None:
+        """End a process without warning."""
+        process = self.processes[name]
+        assert process.popen is not None
+        process.popen.kill()
+        process.popen.wait(10)
+        self.record(ProcessExited(now_ms(), process.life, graceful=False))
+
+    def pause(self, name: str) -> None:
+        self._signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        self._signal(name, signal.SIGCONT)
+
+    def _signal(self, name: str, number: int) -> None:
+        popen = self.processes[name].popen
+        assert popen is not None
+        if popen.poll() is None:
+            os.kill(popen.pid, number)
+
+    def terminate(self, name: str, timeout_s: float = 40.0) -> int:
+        """Ask a process to stop gracefully, and return its exit status."""
+        process = self.processes[name]
+        assert process.popen is not None
+        process.popen.terminate()
+        status = process.popen.wait(timeout_s)
+        self.record(ProcessExited(now_ms(), process.life, graceful=status == 0))
+        return status
+
+    def stop(self) -> None:
+        """End every process that this object started."""
+        for process in self.processes.values():
+            if process.popen is not None and process.popen.poll() is None:
+                process.popen.kill()
+                process.popen.wait(10)
+
+    # What operators and the platform do.
+
+    def wait_for(self, condition: Any, what: str, limit_s: float = READY_LIMIT_S) -> None:
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"{what}: not within {limit_s:g} s")
+
+    def _all_ready(self) -> bool:
+        return all(call("GET", a, "/readyz").status == 200 for a in self.entries.values())
+
+    def _agents_seen(self) -> int:
+        return min(int(self.metric(name, "agents")) for name in self.entries)
+
+    def metric(self, entry: str, name: str) -> float:
+        """Return one gauge of an entry's metrics, -1 without it."""
+        text = call("GET", self.entries[entry], "/metrics").body.decode()
+        for line in text.splitlines():
+            if line.startswith((f"snipewell_{name} ", f"{name} ")):
+                return float(line.split()[-1])
+        return -1.0
+
+    def put(self, kind: str, name: str, spec: Mapping[str, Any], limit_s: float = 20.0) -> Reply:
+        """Write a resource through any entry, again until it is accepted, and record it."""
+        end = time.monotonic() + limit_s
+        while True:
+            for address in self.entries.values():
+                try:
+                    reply = self._put(address, kind, name, spec)
+                except OSError:
+                    continue
+                if reply.status == 200:
+                    self._record_change(kind, name, spec, reply)
+                    return reply
+            if time.monotonic() > end:
+                raise TimeoutError(f"{kind}/{name}: not accepted within {limit_s:g} s")
+            time.sleep(0.1)
+
+    def _put(self, address: str, kind: str, name: str, spec: Mapping[str, Any]) -> Reply:
+        body = json.dumps({"spec": spec}).encode()
+        return call("PUT", address, f"/v1/{kind}/{name}", body)
+
+    def _record_change(self, kind: str, name: str, spec: Mapping[str, Any], reply: Reply) -> None:
+        at_ms = now_ms()
+        if kind == "zones":
+            self.record(ZoneChanged(at_ms, name, bool(spec["in_service"])))
+        if kind == "upstreams":
+            self.record(UpstreamChanged(at_ms, name, bool(spec["in_service"])))
+        revision = reply.json().get("revision")
+        if revision:
+            self.record(ConfigurationAccepted(at_ms, int(revision)))
+
+    def set_store_faults(self, faults: Mapping[str, Any]) -> None:
+        call("POST", self.store, "/faults", json.dumps(faults).encode())
+
+    def set_upstream_faults(self, name: str, faults: Mapping[str, Any]) -> None:
+        call("POST", self.upstreams[name], "/faults", json.dumps(faults).encode())
+
+    def observe(self) -> None:
+        """Record the revision in force at every entry that answers."""
+        for name in self.entries:
+            process = self.processes[name]
+            life = process.life
+            try:
+                revision = int(self.metric(name, "revision"))
+            except OSError:
+                continue
+            if life == process.life:
+                self.record(ConfigurationInForce(now_ms(), life, revision))
+
+    # What callers do.
+
+    def submit(
+        self,
+        key: str,
+        payloads: list[Mapping[str, Any]],
+        service: str,
+        job: bool,
+        entry: str,
+        request: str,
+        deadline_ms: int = 8_000,
+    ) -> Outcome | None:
+        """Send one attempt through ``entry``, and record it; None if no answer came."""
+        headers = {"Idempotency-Key": key, "Deadline-Ms": str(deadline_ms)}
+        if job:
+            path = "/v1/jobs"
+            body = json.dumps({"service": service, "tasks": payloads}).encode()
+        else:
+            path = f"/v1/services/{service}/requests"
+            body = json.dumps(payloads[0]).encode()
+        idempotent = service == "check"
+        life = self.processes[entry].life
+        self.record(Invoked(now_ms(), request, key, len(payloads), idempotent, job, life))
+        try:
+            reply = call("POST", self.entries[entry], path, body, headers, deadline_ms / 1000 + 2)
+        except OSError:
+            return None
+        outcome = read_outcome(reply, job)
+        self.record(Answered(now_ms(), request, outcome))
+        return outcome
+
+    def collect(self) -> list[Event]:
+        """Return the history with the starts and ends that the upstreams logged."""
+        events = list(self.events)
+        for name, address in self.upstreams.items():
+            for entry in call("GET", address, "/log").json()["starts"]:
+                key = entry["key"].partition("/")[2]
+                agent = f"a{name[1:]}"
+                zone = self.zone_of[name]
+                events.append(Started(entry["at_ms"], key, entry["task"], agent, zone, name))
+                if entry.get("end_ms") is not None:
+                    state = TaskState(entry.get("state", "ok"))
+                    body = json.dumps(entry.get("reply")).encode()
+                    events.append(Ended(entry["end_ms"], key, entry["task"], agent, state, body))
+        return sorted(events, key=lambda event: event.at_ms)
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
