--- /dev/null
+++ b/snipewell/agent.py
@@ -0,0 +1,226 @@
+"""The decisions of an agent: joins its ledger and its permits.
+
+An agent runs beside one upstream, owns its slots, and decides last whether a task starts. The core
+does no I/O: the daemon gives it messages, ends of calls and the time, and does what it returns.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from .clock import Clock
+from .ids import (
+    AgentId,
+    EntryId,
+    Incarnation,
+    RackId,
+    ScopedKey,
+    ServiceName,
+    TaskIndex,
+    UpstreamId,
+    ZoneId,
+)
+from .ledger import CallEnd, Ledger, LedgerAction, LedgerLimits, Send
+from .message import (
+    AnyMessage,
+    Cancel,
+    Collect,
+    Forget,
+    Heartbeat,
+    Message,
+    Permit,
+    Query,
+    Resources,
+    Result,
+    Start,
+)
+from .permit import MAX_TTL_MS, Permits
+
+_MAX_RESULTS_KEPT = 1_000
+"""Results kept for each entry that could not be reached; a home asks for older ones by Query."""
+
+
+@dataclass(frozen=True, slots=True)
+class AgentInfo:
+    """What an agent announces; ``address`` is the ``ip:port`` of its upstream."""
+
+    agent: AgentId
+    incarnation: Incarnation
+    upstream: UpstreamId
+    zone: ZoneId
+    rack: RackId
+    address: str
+    connections: int
+    worker: Resources
+    services: tuple[ServiceName, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AgentLimits:
+    """Bounds and intervals of an agent.
+
+    A connection to an entry that answered no heartbeat for ``silence_ms`` is replaced. After a call
+    that could not be sent, starts are refused for ``retry_ms``, doubled each time up to
+    ``max_retry_ms``.
+    """
+
+    ledger: LedgerLimits = LedgerLimits()
+    heartbeat_ms: float = 500
+    permit_ttl_ms: float = MAX_TTL_MS
+    silence_ms: float = 2_000
+    retry_ms: float = 100
+    max_retry_ms: float = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reconnect:
+    """Replace the connection to ``entry``, which went silent."""
+
+    entry: EntryId
+
+
+AgentAction = LedgerAction | Reconnect
+
+
+class Agent:
+    """The core of one agent."""
+
+    def __init__(self, info: AgentInfo, clock: Clock, limits: AgentLimits | None = None) -> None:
+        self.info = info
+        self.limits = limits or AgentLimits()
+        self.permits = Permits(clock, self.limits.permit_ttl_ms)
+        self.ledger = Ledger(info.agent, info.incarnation, clock, self.limits.ledger)
+        self.sequence = 0
+        """The sequence of the latest heartbeat."""
+        self.answered: dict[EntryId, int] = {}
+        """The highest sequence that each entry has answered."""
+        self._clock = clock
+        self._connected_ms: dict[EntryId, float] = {}
+        self._undelivered: dict[EntryId, deque[Result]] = {}
+        self._next_heartbeat_ms = 0.0
+        self._failures = 0
+
+    def on_entries(self, entries: Collection[EntryId]) -> None:
+        """Take the entries to which there are connections; the others are gone."""
+        for entry in list(self._connected_ms):
+            if entry not in entries:
+                del self._connected_ms[entry]
+                self._undelivered.pop(entry, None)
+                self.answered.pop(entry, None)
+                self.permits.entry_gone(entry)
+        for entry in entries:
+            if entry not in self._connected_ms:
+                self._connected_ms[entry] = self._clock.now_ms()
+                self._next_heartbeat_ms = 0.0
+
+    def silent_ms(self, entry: EntryId) -> float:
+        """Return for how long a connected entry has not answered, in milliseconds."""
+        since_ms = self.permits.heard_ms(entry) or self._connected_ms.get(entry, 0.0)
+        return self._clock.now_ms() - since_ms
+
+    def on_message(self, entry: EntryId, message: AnyMessage) -> list[AgentAction]:
+        """Take a message from ``entry``; messages that no agent takes are dropped."""
+        match message:
+            case Permit():
+                return self._on_permit(entry, message)
+            case Start():
+                # A start for an earlier life may have been acted on by that life.
+                if message.incarnation not in ("", self.info.incarnation):
+                    return []
+                return [*self.ledger.on_start(message, self.permits.may_start())]
+            case Cancel():
+                return [*self.ledger.on_cancel(message)]
+            case Query():
+                return [*self.ledger.on_query(entry, message)]
+            case Collect():
+                return [*self.ledger.on_collect(entry, message)]
+            case Forget():
+                self.ledger.on_forget(message)
+        return []
+
+    def _on_permit(self, entry: EntryId, permit: Permit) -> list[AgentAction]:
+        """Take a permit; after a withdrawal, refuse what is queued at once."""
+        if permit.entry != entry or entry not in self._connected_ms:
+            return []
+        self.permits.on_permit(permit)
+        self.answered[entry] = max(permit.sequence, self.answered.get(entry, 0))
+        results = self._undelivered.pop(entry, ())
+        resent: list[AgentAction] = [Send(entry, result) for result in results]
+        return [*resent, *self.ledger.tick(self.permits.may_start())]
+
+    def on_undelivered(self, entry: EntryId, message: Message) -> None:
+        """Keep a result for an entry that could not be reached until the entry answers again.
+
+        Other messages are not kept: a late refusal could be taken for one of a newer grant, and
+        homes ask again for the rest.
+        """
+        if isinstance(message, Result) and entry in self._connected_ms:
+            kept = self._undelivered.setdefault(entry, deque(maxlen=_MAX_RESULTS_KEPT))
+            kept.append(message)
+
+    def may_send(self) -> bool:
+        """Return whether the first byte of a call may leave now."""
+        return self.permits.may_start()
+
+    def on_upstream_end(
+        self, key: ScopedKey, task: TaskIndex, end: CallEnd, body: bytes = b"", reason: str = ""
+    ) -> list[AgentAction]:
+        """Take the end of a call to the upstream."""
+        if end is CallEnd.NOT_SENT:
+            backoff_ms = self.limits.retry_ms * 2 ** min(self._failures, 16)
+            self._failures += 1
+            until_ms = self._clock.now_ms() + min(backoff_ms, self.limits.max_retry_ms)
+            self.ledger.suspend(until_ms)
+        elif end in (CallEnd.OK, CallEnd.FAILED):
+            self._failures = 0
+        may_start = self.permits.may_start()
+        return [*self.ledger.on_upstream_end(key, task, end, may_start, body, reason)]
+
+    def tick(self) -> list[AgentAction]:
+        """Send heartbeats that are due, refuse what expired, and replace silent connections."""
+        self.permits.tick()
+        actions: list[AgentAction] = [*self.ledger.tick(self.permits.may_start())]
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._next_heartbeat_ms:
+            self._next_heartbeat_ms = now_ms + self.limits.heartbeat_ms
+            actions += self._heartbeats()
+        for entry, connected_ms in self._connected_ms.items():
+            silent_ms = min(self.silent_ms(entry), now_ms - connected_ms)
+            if silent_ms >= self.limits.silence_ms:
+                self._connected_ms[entry] = now_ms
+                actions.append(Reconnect(entry))
+        return actions
+
+    def _heartbeats(self) -> list[AgentAction]:
+        self.sequence += 1
+        info = self.info
+        heartbeat = Heartbeat(
+            agent=info.agent,
+            incarnation=info.incarnation,
+            sequence=self.sequence,
+            upstream=info.upstream,
+            zone=info.zone,
+            rack=info.rack,
+            address=info.address,
+            slots=self.limits.ledger.slots,
+            connections=info.connections,
+            worker=info.worker,
+            services=list(info.services),
+            draining=self.ledger.draining,
+            revision=self.permits.revision,
+            load=self.ledger.load(),
+        )
+        for entry in self._connected_ms:
+            self.permits.heartbeat_sent(entry, self.sequence)
+        return [Send(entry, heartbeat) for entry in self._connected_ms]
+
+    def drain(self) -> list[AgentAction]:
+        """Accept no more starts, refuse the queued tasks, and tell the entries at once."""
+        self._next_heartbeat_ms = 0.0
+        return [*self.ledger.drain(), *self.tick()]
+
+    def is_drained(self) -> bool:
+        """Return whether every call has ended and no result waits for its entry."""
+        return self.ledger.draining and not self.ledger.running and not self._undelivered
--- a/snipewell/client.py
+++ b/snipewell/client.py
@@ -157,8 +157,10 @@
         connections: int = 60,
         max_body_bytes: int = MAX_BODY_BYTES,
         step: Step = Step.UPSTREAM,
+        connect_timeout_ms: float = 1_000,
     ) -> None:
         self.address = address
+        self._connect_timeout_s = connect_timeout_ms / 1000
         self._max_body_bytes = max_body_bytes
         self._step = step
         self._free = curio.Semaphore(connections)
@@ -169,12 +171,17 @@
         return (ExchangeError if sent else NotSentError)(self._step, self.address, reason)
 
     async def request(
-        self, request: Request, timeout_ms: float, may_send: Callable[[], bool] | None = None
+        self,
+        request: Request,
+        timeout_ms: float,
+        may_send: Callable[[], bool] | None = None,
+        is_expected: Callable[[Response], bool] | None = None,
     ) -> Response:
         """Send ``request`` and return the whole response, within ``timeout_ms``.
 
         ``may_send`` is called immediately before the first byte is sent; if it returns False, the
-        request is not sent. Raise NotSentError or ExchangeError. If the calling task is cancelled,
+        request is not sent. A response that ``is_expected`` rejects is an ExchangeError, and its
+        connection is closed. Raise NotSentError or ExchangeError. If the calling task is cancelled,
         the connection is closed.
         """
         if timeout_ms <= 0:
@@ -182,13 +189,17 @@
         holder: list[_Connection] = []
         try:
             async with curio.timeout_after(timeout_ms / 1000), self._free:
-                return await self._exchange(request, holder, may_send)
+                return await self._exchange(request, holder, may_send, is_expected)
         except curio.TaskTimeout:
             reason = f"no whole answer within {timeout_ms:.0f} ms"
             raise self._error(holder[0] if holder else None, reason) from None
 
     async def _exchange(
-        self, request: Request, holder: list[_Connection], may_send: Callable[[], bool] | None
+        self,
+        request: Request,
+        holder: list[_Connection],
+        may_send: Callable[[], bool] | None,
+        is_expected: Callable[[Response], bool] | None,
     ) -> Response:
         connection = await self._acquire()
         holder.append(connection)
@@ -200,6 +211,8 @@
             await connection.send(request, self.address)
             response = await connection.read_head(request.method)
             response.body = await connection.read_body(self._max_body_bytes)
+            if is_expected is not None and not is_expected(response):
+                raise _BrokenError("the answer belongs to another request")
             reusable = connection.reset()
         except _BROKEN as error:
             raise self._error(connection, str(error) or type(error).__name__) from error
@@ -219,8 +232,9 @@
                 return connection
             await connection.close()
         try:
-            return await _Connection.open(self.address)
-        except (OSError, ValueError) as error:
+            async with curio.timeout_after(self._connect_timeout_s):
+                return await _Connection.open(self.address)
+        except (OSError, ValueError, curio.TaskTimeout) as error:
             raise NotSentError(self._step, self.address, f"cannot connect: {error}") from error
 
     async def stream(self, request: Request, timeout_ms: float, silence_ms: float) -> Response:
--- a/snipewell/permit.py
+++ b/snipewell/permit.py
@@ -26,8 +26,9 @@
     merely have lost contact; a pushed withdrawal ends all permits of its revision.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_ttl_ms: float = MAX_TTL_MS) -> None:
         self._clock = clock
+        self._max_ttl_ms = min(max_ttl_ms, MAX_TTL_MS)
         self._sent: dict[EntryId, dict[int, float]] = {}
         self._expiry_ms: dict[EntryId, float] = {}
         self._heard_ms: dict[EntryId, float] = {}
@@ -73,7 +74,7 @@
         elif not permit.accepting:
             self._expiry_ms.pop(entry, None)
         elif permit.revision > self._withdrawn and sent_ms is not None:
-            expiry_ms = sent_ms + min(permit.ttl_ms, MAX_TTL_MS)
+            expiry_ms = sent_ms + min(permit.ttl_ms, self._max_ttl_ms)
             self._expiry_ms[entry] = max(expiry_ms, self._expiry_ms.get(entry, expiry_ms))
 
     def may_start(self) -> bool:
--- /dev/null
+++ b/snipewell/standins/upstream.py
@@ -0,0 +1,157 @@
+"""Stand-in for an upstream: sleeps, answers, fails on request, and logs every start as the truth.
+
+``POST /tasks/<service>`` takes a JSON payload such as ``{"ms": 120, "reply": "done"}``; without
+``ms`` the service time of the settings applies. ``POST /faults`` replaces the faults in force, and
+``GET /log`` returns every start since the beginning.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+
+import curio
+import msgspec
+
+from ..clock import SystemClock
+from ..server import CallerGoneError, HttpServer
+from ..settings import UpstreamSettings
+from ..web import Request, Response
+
+_SILENT_S = 3_600.0
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults in force. Each applies to tasks that start while it is set.
+
+    ``fail``: answer 500 at once. ``slow``: factor on the service time. ``hang``: never answer on
+    the open connection. ``truncate``: send half of the answer and close. ``close``: close after
+    the request was read. ``wrong_id``: answer with the id of another task.
+    """
+
+    fail: bool = False
+    slow: float = 1.0
+    hang: bool = False
+    truncate: bool = False
+    close: bool = False
+    wrong_id: bool = False
+
+
+class Payload(msgspec.Struct):
+    """What a task asks of the stand-in; ``reply`` is any JSON value."""
+
+    ms: float | None = None
+    reply: object = None
+    fail: bool = False
+
+
+class StartLog(msgspec.Struct):
+    """One start. Times are in milliseconds on this machine's monotonic clock.
+
+    ``end`` is ``running``, ``ok``, ``failed``, ``hung``, ``truncated``, ``closed``, ``crossed`` or
+    ``cut``, the last if the caller closed its connection.
+    """
+
+    key: str
+    task: int
+    service: str
+    started_ms: float
+    ended_ms: float = 0.0
+    end: str = "running"
+
+
+async def _break_after(part: bytes) -> AsyncIterator[bytes]:
+    """Send ``part``, then make the server close the connection."""
+    yield part
+    raise OSError("fault: the answer is truncated")
+
+
+class Upstream:
+    """One stand-in upstream; ``log`` and ``faults`` may be used directly by tests."""
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self.faults = Faults()
+        self.log: list[StartLog] = []
+        self.address = ""
+        self.running = 0
+        self.most_running = 0
+        """The highest number of tasks that ran at once."""
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random(settings.seed)
+        self._server = HttpServer(self._handle)
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the address is in use."""
+        await self._server.start(self._settings.host, self._settings.port)
+        self.address = "{}:{}".format(*self._server.address)
+
+    async def stop(self) -> None:
+        """Close the listener and cut off what runs."""
+        await self._server.stop(0)
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path.startswith("/tasks/") and request.method == "POST":
+            return await self._run(request)
+        if request.path == "/log" and request.method == "GET":
+            return Response.from_json(200, self.log)
+        if request.path == "/faults" and request.method == "POST":
+            try:
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+            except msgspec.MsgspecError as error:
+                return Response.from_json(400, {"reason": str(error)})
+            return Response.from_json(200, self.faults)
+        return Response.from_json(404, {"reason": f"no {request.method} {request.path}"})
+
+    async def _run(self, request: Request) -> Response:
+        """Log the start and carry out one task."""
+        try:
+            payload = msgspec.json.decode(request.body or b"{}", type=Payload)
+            task = int(request.headers.get("snipewell-task", "0"))
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Response.from_json(400, {"reason": str(error)})
+        key, service = request.headers.get("snipewell-key", ""), request.path[len("/tasks/") :]
+        entry = StartLog(key, task, service, self._clock.now_ms())
+        self.log.append(entry)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        faults = self.faults
+        try:
+            entry.end = await self._work(payload, faults)
+        except BaseException:
+            entry.end = "hung" if faults.hang else "cut"
+            raise
+        finally:
+            self.running -= 1
+            entry.ended_ms = self._clock.now_ms()
+        task_id = request.headers.get("snipewell-task-id", "")
+        return self._respond(payload, entry.end, task_id)
+
+    async def _work(self, payload: Payload, faults: Faults) -> str:
+        """Spend the service time of one task and return how it ends."""
+        settings = self._settings
+        if faults.fail or payload.fail or self._rng.random() < settings.failure_share:
+            return "failed"
+        if faults.hang:
+            await curio.sleep(_SILENT_S)
+        service_ms = settings.service_ms if payload.ms is None else payload.ms
+        await curio.sleep(service_ms * faults.slow / settings.speed / 1000)
+        if faults.close:
+            return "closed"
+        if faults.truncate:
+            return "truncated"
+        return "crossed" if faults.wrong_id else "ok"
+
+    def _respond(self, payload: Payload, end: str, task_id: str) -> Response:
+        if end == "closed":
+            raise CallerGoneError
+        if end == "failed":
+            response = Response.from_json(500, {"reason": "fault"})
+        else:
+            response = Response.from_json(200, payload.reply)
+        if end == "truncated":
+            size = len(response.body)
+            response.headers["content-length"] = str(size)
+            response.stream = _break_after(response.body[: size // 2])
+        response.headers["snipewell-task-id"] = "other" if end == "crossed" else task_id
+        return response
