Start idle flows at the virtual time of an equal share, and let short work go first

Cause: virtual time jumped to that of the flow served, and a rebuild behind its share held up all single requests until it ended. Change: virtual time rises by work over the weight of the waiting flows; between sizes a larger job counts as at most 200 ms of virtual time behind.

--- a/snipewell/backlog.py
+++ b/snipewell/backlog.py
@@ -5,7 +5,8 @@
 advances the flow's virtual time by the expected work over its weight, and the flow with the least
 virtual time plus work left in its first job goes first. A job, once begun, is therefore finished
 before the next of the same length, since it is worth nothing until its last task ends, and no flow
-gets less than its share in the long run.
+gets less than its share in the long run. The virtual time at which a flow that was idle starts
+rises by each grant's work over the weight of all waiting flows.
 
 Within a flow, the job with the least expected work left goes first. Its rank is its arrival time
 plus ``ageing`` times the work left, so jobs that arrived more than that later cannot overtake it.
@@ -40,6 +41,9 @@
 
 
 SIZE_WEIGHTS = {Size.SINGLE: 8, Size.SMALL: 4, Size.BULK: 2}
+# A larger job that is behind its share still lets shorter work within its share go first. In
+# virtual time; a single request of 200 ms takes 25.
+_BEHIND_SHORT_MS = {Size.SINGLE: 0.0, Size.SMALL: 100.0, Size.BULK: 200.0}
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +132,7 @@
         self._virtual_ms = 0.0
         self._sequence = count()
         self._active_weight = 0
+        self._flow_weight = 0.0
         self.waiting = 0
         self.work_ms = 0.0
 
@@ -142,7 +147,10 @@
         share = self._share(team)
         if share.waiting:
             self._active_weight += weight - share.weight
+        before = sum(flow.weight for flow in share.flows.values() if flow.waiting)
         share.set_weight(weight)
+        after = sum(flow.weight for flow in share.flows.values() if flow.waiting)
+        self._flow_weight += after - before
 
     def waiting_of(self, team: TeamName) -> int:
         """Return how many tasks of ``team`` wait."""
@@ -193,7 +201,7 @@
     def best(self, blocked: Container[PlacementClass], now_ms: float) -> Batch | None:
         """Return the batch whose task should be placed next, outside ``blocked``, or None."""
         best: Batch | None = None
-        best_end_ms = 0.0
+        best_order = (0.0, 0.0)
         drained = []
         for placement, queue in self._classes.items():
             if placement in blocked:
@@ -203,8 +211,9 @@
                 drained.append(placement)
                 continue
             end_ms = self._virtual_end(batch)
-            if best is None or end_ms < best_end_ms:
-                best, best_end_ms = batch, end_ms
+            order = (max(end_ms, self._virtual_ms + _BEHIND_SHORT_MS[placement.size]), end_ms)
+            if best is None or order < best_order:
+                best, best_order = batch, order
         for placement in drained:
             del self._classes[placement]
         return best
@@ -215,7 +224,7 @@
         batch.expected_ms = expected_ms
         task = batch.tasks.popleft()
         flow = self._flow(batch)
-        self._virtual_ms = max(self._virtual_ms, flow.virtual_ms)
+        self._virtual_ms += expected_ms / max(flow.weight, self._flow_weight)
         flow.virtual_ms += expected_ms / flow.weight
         self._count(batch, -1, -expected_ms)
         if batch.tasks:
@@ -324,7 +333,7 @@
         """Add to the waiting tasks and their expected work, or take away."""
         share = self._teams[batch.team]
         own = share.flows[batch.placement.size]
-        waited = share.waiting
+        waited, own_waited = share.waiting, own.waiting
         share.waiting += tasks
         own.waiting += tasks
         own.work_ms = own.work_ms + work_ms if own.waiting else 0.0
@@ -332,6 +341,8 @@
         self.work_ms = self.work_ms + work_ms if self.waiting else 0.0
         if bool(waited) != bool(share.waiting):
             self._active_weight += share.weight if share.waiting else -share.weight
+        if bool(own_waited) != bool(own.waiting):
+            self._flow_weight += own.weight if own.waiting else -own.weight
 
     def _forget(self, batch: Batch) -> None:
         batches = self._keys.get(batch.key)
