--- a/snipewell/agentd.py
+++ b/snipewell/agentd.py
@@ -4,7 +4,6 @@
 
 import signal
 import string
-import threading
 from collections.abc import Iterable
 from urllib.parse import quote
 
@@ -32,6 +31,7 @@
 from .outcome import SnipewellError
 from .record import RecordLimits
 from .settings import AgentSettings
+from .signals import SignalQueue
 from .transport import Dealers, agent_identity
 from .web import Request, Response
 
@@ -48,11 +48,15 @@
 )
 
 
-class ListedEntry(msgspec.Struct, frozen=True):
-    """One item of ``GET /v1/entries``; ``address`` is the ``ip:port`` for messages."""
-
+class _Listed(msgspec.Struct, frozen=True):
     entry: EntryId
-    address: str
+    message_address: str
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    """What the agent reads of ``GET /v1/entries``."""
+
+    entries: list[_Listed]
 
 
 def _info_of(settings: AgentSettings) -> AgentInfo:
@@ -79,7 +83,7 @@
 
 
 class AgentDaemon:
-    """One agent process; ``stop`` may be called from a signal handler."""
+    """One agent process, within a running curio kernel."""
 
     def __init__(self, settings: AgentSettings, log: Log | None = None) -> None:
         self.agent = Agent(_info_of(settings), SystemClock(), _limits_of(settings))
@@ -108,7 +112,7 @@
 
     async def run(self) -> int:
         """Run until stopped; return 0, or 1 if calls were cut off at the end."""
-        self._log.info("agent", "started", agent=self.agent.info.agent)
+        self._log.info("agent", "started", incarnation=self.agent.info.incarnation)
         refresh = await curio.spawn(self._refresh_forever, daemon=True)
         try:
             while not self._stops:
@@ -167,10 +171,8 @@
         )
         if response.status != 200:
             return
-        listed = {
-            item.entry: item.address
-            for item in msgspec.json.decode(response.body, type=list[ListedEntry])
-        }
+        listing = msgspec.json.decode(response.body, type=_Listing)
+        listed = {item.entry: item.message_address for item in listing.entries}
         for entry, address in listed.items():
             try:
                 await self._dealers.connect(entry, address)
@@ -261,8 +263,15 @@
     The first signal drains: no new starts, running calls end, results are delivered. The second
     signal, or the drain limit of ``settings``, cuts off what still runs, and the status is 1.
     """
-    daemon = AgentDaemon(settings, log or Log.from_config(settings.log))
-    if threading.current_thread() is threading.main_thread():
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: daemon.stop())
-    return await daemon.run()
+    daemon = AgentDaemon(settings, log or Log.from_config(settings.log, agent=settings.name))
+    async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        stopper = await curio.spawn(_stop_on, signals, daemon, daemon=True)
+        status = await daemon.run()
+        await stopper.cancel()
+    return status
+
+
+async def _stop_on(signals: SignalQueue, daemon: AgentDaemon) -> None:
+    while True:
+        await signals.get()
+        daemon.stop()
