--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -228,6 +228,8 @@
         register, records = self.register, self._fetching.records
         open_records = []
         for record in records.values():
+            if self._is_outdated(record.epoch) and isinstance(record.outcome, NotRun | Impossible):
+                continue
             if register.adopt(record).state is not RunState.ENDED:
                 open_records.append(record)
         for holder, known in self._fetching.known.items():
@@ -248,6 +250,13 @@
         effects = self._collecting.tick() + self._resolve()
         return effects + self._drain_queue()
 
+    def _is_outdated(self, epoch: int) -> bool:
+        """Return whether newer records of a key last recorded at ``epoch`` may have been lost.
+
+        Such a record, or a refusal that only a deposed home noted, proves nothing about the key.
+        """
+        return epoch < self.assigned.coverage_epoch
+
     def on_collected(self, agent: AgentId, message: Collected) -> list[Effect]:
         """Take the start records of a candidate agent."""
         if self._collecting is None:
@@ -264,7 +273,7 @@
             run = self._context.runs.get(key)
             if run is None or run.state is not RunState.COLLECTING:
                 continue
-            clean = (clean and not self._fetching.gap) or not protected
+            clean = (clean and not self._is_outdated(run.epoch)) or not protected
             effects += run.resolve(found, clean, now_ms)
             effects += self.register.settle(run) + self.register.resume(run)
         if self._collecting.is_done():
