--- a/snipewell/standins/cluster.py
+++ b/snipewell/standins/cluster.py
@@ -1,6 +1,7 @@
 """A whole system on loopback in one curio kernel, for tests, demo and bench.
 
-It runs entries as they are, and the stand-ins of store and balancer, each on a free port.
+It runs entries and agents as they are, and the stand-ins of store, upstreams and balancer, each on
+a free port.
 """
 
 from __future__ import annotations
@@ -10,47 +11,64 @@
 import curio
 import msgspec
 
+from ..agentd import AgentDaemon
 from ..client import HttpPool
 from ..entryd import EntryDaemon
 from ..log import Log
 from ..outcome import Step
-from ..settings import BalancerSettings, EntrySettings, LogSettings, StoreSettings
+from ..settings import (
+    AgentSettings,
+    BalancerSettings,
+    EntrySettings,
+    LogSettings,
+    StoreSettings,
+    UpstreamSettings,
+)
 from ..web import Request, Response
 from .balancer import Balancer
 from .store import StoreServer, StoreStandIn
+from .upstream import Upstream
 
 HOST = "127.0.0.1"
 _READY_LIMIT_S = 20.0
 
 
 class Cluster:
-    """Store, entries and balancer.
+    """Store, upstreams, entries, agents and balancer.
 
-    For example ``cluster = Cluster([entry_settings("e1", "patan")])``, then ``await
-    cluster.start()`` and ``await cluster.request(Request("GET", "/readyz"))``. The address of the
-    store in the entries' settings is filled in on start.
+    For example ``cluster = Cluster([entry_settings("e1", "patan")], [agent_settings("a1",
+    "patan")])``, then ``await cluster.start()``, ``await cluster.put("zones", "patan", {})`` and
+    ``await cluster.request(Request("GET", "/readyz"))``. Addresses in the settings are filled in
+    on start; each agent gets an upstream of the name in its settings.
     """
 
     def __init__(
         self,
         entries: Sequence[EntrySettings],
+        agents: Sequence[AgentSettings] = (),
+        upstreams: Sequence[UpstreamSettings] = (),
         store: StoreSettings | None = None,
         log: Callable[[str], Log] | None = None,
     ) -> None:
         self._entry_settings = {settings.name: settings for settings in entries}
+        self._agent_settings = {settings.name: settings for settings in agents}
+        self._upstream_settings = {settings.name: settings for settings in upstreams}
         self._new_log = log or (lambda name: Log())
         settings = store or StoreSettings(host=HOST, port=0)
         self.store = StoreStandIn(settings=settings)
         self._store_server = StoreServer(self.store, settings.host, settings.port)
         self._store_task: curio.Task | None = None
         self.entries: dict[str, EntryDaemon] = {}
+        self.agents: dict[str, AgentDaemon] = {}
+        self._agent_tasks: dict[str, curio.Task] = {}
+        self.upstreams: dict[str, Upstream] = {}
         self.balancer = Balancer(BalancerSettings(host=HOST, port=0, check_interval_ms=50))
         self._pool: HttpPool | None = None
 
     async def start(self) -> None:
-        """Start everything; return when the balancer sends connections to every entry.
+        """Start everything; return when the balancer uses every entry and all know every agent.
 
-        Raises TimeoutError if an entry does not become ready.
+        Raises TimeoutError if that does not happen within 20 s.
         """
         await self._store_server.start()
         self._store_task = await curio.spawn(self._store_server.run)
@@ -59,12 +77,27 @@
         await self.balancer.start()
         self._pool = HttpPool(self.balancer.address, 500, step=Step.EDGE)
         await self.wait_until(lambda: len(self.balancer.ready) == len(self.entries), "entries")
+        for name in self._agent_settings:
+            await self.start_agent(name)
+        await self.wait_until(self.is_joined, "agents")
+
+    def is_joined(self) -> bool:
+        """Return whether every entry hears from every agent and every other entry."""
+        return all(
+            len(daemon.core.membership) == len(self.agents)
+            and len(daemon.core.entries) == len(self.entries)
+            for daemon in self.entries.values()
+        )
 
     async def stop(self, grace_ms: float = 10_000) -> int:
         """Stop everything, the entries gracefully; return how many requests were cut off."""
         cut = 0
         for name in list(self.entries):
             cut += await self.stop_entry(name, grace_ms)
+        for name in list(self.agents):
+            await self.kill_agent(name)
+        for upstream in self.upstreams.values():
+            await upstream.stop()
         await self.balancer.stop()
         if self._pool is not None:
             await self._pool.close()
@@ -93,6 +126,36 @@
         """End an entry without a word to anyone, as a crash does."""
         await self.entries.pop(name).kill()
 
+    async def start_agent(self, name: str) -> AgentDaemon:
+        """Start an agent by its settings' name, with its upstream if that is not running."""
+        settings = self._agent_settings[name]
+        if settings.upstream not in self.upstreams:
+            default = UpstreamSettings(name=settings.upstream, host=HOST, port=0)
+            upstream = Upstream(self._upstream_settings.get(settings.upstream, default))
+            await upstream.start()
+            self.upstreams[settings.upstream] = upstream
+        settings = msgspec.structs.replace(
+            settings,
+            balancer=self.balancer.address,
+            upstream_address=self.upstreams[settings.upstream].address,
+        )
+        daemon = AgentDaemon(settings, self._new_log(name))
+        self.agents[name] = daemon
+        self._agent_tasks[name] = await curio.spawn(daemon.run)
+        return daemon
+
+    async def stop_agent(self, name: str) -> int:
+        """Stop an agent gracefully; return how many calls were cut off."""
+        daemon = self.agents.pop(name)
+        daemon.stop()
+        await self._agent_tasks.pop(name).join()
+        return daemon.cut
+
+    async def kill_agent(self, name: str) -> None:
+        """End an agent at once; its upstream goes on."""
+        del self.agents[name]
+        await self._agent_tasks.pop(name).cancel()
+
     async def request(self, request: Request, timeout_ms: float = 30_000) -> Response:
         """Send one request through the balancer; raise NotSentError or ExchangeError."""
         assert self._pool is not None
@@ -115,6 +178,22 @@
         self.balancer.set_entries([daemon.http_address for daemon in self.entries.values()])
 
 
+def agent_settings(name: str, zone: str, **changes: object) -> AgentSettings:
+    """Return settings of an agent with an upstream of its own; ``changes`` replace fields."""
+    settings = AgentSettings(
+        name=name,
+        zone=zone,
+        rack=f"{zone}-r1",
+        host=HOST,
+        upstream=f"u-{name}",
+        upstream_address=f"{HOST}:1",
+        balancer=f"{HOST}:1",
+        services=["dye-test"],
+        log=LogSettings(level="off"),
+    )
+    return msgspec.structs.replace(settings, **changes)
+
+
 def entry_settings(name: str, zone: str, **changes: object) -> EntrySettings:
     """Return settings of an entry on free loopback ports; ``changes`` replace single fields."""
     settings = EntrySettings(
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,182 @@
+"""The whole path over sockets: callers, balancer, entries, agents, upstreams and store."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+import pytest
+
+from snipewell.client import ExchangeError, NotSentError
+from snipewell.standins.cluster import Cluster, agent_settings, entry_settings
+from snipewell.web import Request, Response
+
+ZONES = ("patan", "bhaktapur", "kirtipur")
+
+
+def run_cluster(check: Callable[[Cluster], Awaitable[None]], entries: int = 3) -> None:
+    """Run ``check`` on entries and as many agents, one of each in each zone."""
+
+    async def main() -> None:
+        cluster = Cluster(
+            [entry_settings(f"e{n}", ZONES[n]) for n in range(entries)],
+            [agent_settings(f"a{n}", ZONES[n], entries_interval_ms=200) for n in range(entries)],
+        )
+        async with curio.timeout_after(90):
+            await cluster.start()
+            for zone in ZONES[:entries]:
+                assert (await cluster.put("zones", zone, {"in_service": True})).status == 200
+            await cluster.put("services", "dye-test", {"deadline_ms": 10_000})
+            await check(cluster)
+            await cluster.stop()
+
+    curio.run(main)
+
+
+def job(key: str, tasks: list[dict[str, object]], **headers: str) -> Request:
+    body = msgspec.json.encode({"service": "dye-test", "tasks": tasks})
+    return Request("POST", "/v1/jobs", {}, {"idempotency-key": key, **headers}, body)
+
+
+def starts(cluster: Cluster) -> Counter[tuple[str, int]]:
+    return Counter((s.key, s.task) for u in cluster.upstreams.values() for s in u.log)
+
+
+async def resubmit(cluster: Cluster, request: Request) -> Response:
+    """Send a request until it gets an answer that is not unknown, as a caller does."""
+    for _ in range(200):
+        try:
+            response = await cluster.request(request)
+        except (ExchangeError, NotSentError):
+            await curio.sleep(0.05)
+            continue
+        if response.status not in (503, 504):
+            break
+        await curio.sleep(0.05)
+    return response
+
+
+def test_requests_and_jobs_get_their_own_whole_answers() -> None:
+    """Guards against answers that are crossed, partial or out of order on the way over sockets."""
+
+    async def check(cluster: Cluster) -> None:
+        async def ask(number: int) -> None:
+            tasks = [{"ms": 5 * (3 - n), "reply": [number, n]} for n in range(3)]
+            response = await cluster.request(job(f"j{number}", tasks))
+            assert response.headers["snipewell-outcome"] == "complete", response.body
+            results = msgspec.json.decode(response.body)["results"]
+            assert results == [[number, n] for n in range(3)]
+
+        async with curio.TaskGroup() as group:
+            for number in range(30):
+                await group.spawn(ask, number)
+        assert set(starts(cluster).values()) == {1}
+        single = Request(
+            "POST", "/v1/services/dye-test/requests", {}, {"idempotency-key": "s"},
+            b'{"ms": 5, "reply": "blue"}',
+        )  # fmt: skip
+        assert (await cluster.request(single)).body == b'"blue"'
+        failed = await cluster.request(job("f", [{"ms": 1}, {"fail": True}]))
+        assert failed.status == 502 and b"results" not in failed.body
+
+    run_cluster(check)
+
+
+def test_resubmission_joins_and_progress_is_told() -> None:
+    """Guards against a second run of a job that its caller thinks is lost."""
+
+    async def check(cluster: Cluster) -> None:
+        request = job("slow", [{"ms": 600, "reply": 1}, {"ms": 5, "reply": 2}])
+        first = await curio.spawn(cluster.request, request)
+        status = Request("GET", "/v1/jobs/slow")
+        while (await cluster.request(status)).status == 404:
+            await curio.sleep(0.01)
+        assert (await cluster.request(status)).status == 202
+        second = await curio.spawn(cluster.request, request)
+        other = await cluster.request(job("slow", [{"ms": 1}]))
+        assert other.status == 409
+        waited = await cluster.request(Request("GET", "/v1/jobs/slow", {"wait": "9000"}))
+        answers = [await first.join(), await second.join(), waited]
+        assert {a.body for a in answers} == {b'{"outcome":"complete","results":[1,2]}'}
+        assert starts(cluster) == {("default/slow", 0): 1, ("default/slow", 1): 1}
+
+    run_cluster(check)
+
+
+def test_cancel_ends_a_job_for_its_caller() -> None:
+    """Guards against a cancelled job whose caller waits on."""
+
+    async def check(cluster: Cluster) -> None:
+        waiting = await curio.spawn(cluster.request, job("c", [{"ms": 9_000}] * 3))
+        while sum(starts(cluster).values()) < 3:
+            await curio.sleep(0.01)
+        cancelled = await cluster.request(Request("DELETE", "/v1/jobs/c"))
+        assert cancelled.status == 410
+        assert (await waiting.join()).status == 410
+
+    run_cluster(check, 1)
+
+
+def test_graceful_stop_of_an_entry_loses_nothing() -> None:
+    """Guards against requests that are cut off, lost or run twice while an entry is replaced."""
+
+    async def check(cluster: Cluster) -> None:
+        answers: list[Response] = []
+
+        async def ask(number: int) -> None:
+            tasks = [{"ms": 40, "reply": n} for n in range(4)]
+            answers.append(await cluster.request(job(f"g{number}", tasks)))
+
+        async with curio.TaskGroup() as group:
+            for number in range(40):
+                await group.spawn(ask, number)
+                await curio.sleep(0.02)
+                if number == 10:
+                    await group.spawn(cluster.stop_entry, "e0")
+        assert Counter(a.body for a in answers) == {
+            b'{"outcome":"complete","results":[0,1,2,3]}': 40
+        }
+        assert set(starts(cluster).values()) == {1}
+
+    run_cluster(check)
+
+
+@pytest.mark.parametrize("victim", ["e0", "e1"])
+def test_crash_of_an_entry_strands_no_caller(victim: str) -> None:
+    """Guards against keys that stay without a home, and tasks that run twice after a takeover."""
+
+    async def check(cluster: Cluster) -> None:
+        answers: list[Response] = []
+
+        async def ask(number: int) -> None:
+            request = job(f"k{number}", [{"ms": 30, "reply": number}])
+            answers.append(await resubmit(cluster, request))
+
+        async with curio.TaskGroup() as group:
+            for number in range(24):
+                await group.spawn(ask, number)
+                await curio.sleep(0.01)
+                if number == 10:
+                    await cluster.kill_entry(victim)
+        outcomes = Counter(a.headers["snipewell-outcome"] for a in answers)
+        assert sum(outcomes.values()) == 24 and set(outcomes) <= {"complete", "failed"}
+        assert set(starts(cluster).values()) == {1}
+
+    run_cluster(check)
+
+
+def test_zone_out_of_service_gets_no_starts() -> None:
+    """Guards against starts in a zone after its withdrawal was reported to be in force."""
+
+    async def check(cluster: Cluster) -> None:
+        assert (await cluster.put("zones", "patan", {"in_service": False})).status == 200
+        # Agents learn it from the push, or at the latest when their permits end after 1,500 ms.
+        await curio.sleep(2.5)
+        before = len(cluster.upstreams["u-a0"].log)
+        response = await cluster.request(job("z", [{"ms": 5, "reply": n} for n in range(40)]))
+        assert response.status == 200
+        assert len(cluster.upstreams["u-a0"].log) == before == 0
+
+    run_cluster(check)
