--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -27,7 +27,8 @@
         async with curio.timeout_after(90):
             await cluster.start()
             for zone in ZONES[:entries]:
-                assert (await cluster.put("zones", zone, {"in_service": True})).status == 200
+                put = await cluster.put("zones", zone, {"in_service": True})
+                assert put.status == 200, put.body
             await cluster.put("services", "dye-test", {"deadline_ms": 10_000})
             await check(cluster)
             await cluster.stop()
@@ -79,7 +80,7 @@
         )  # fmt: skip
         assert (await cluster.request(single)).body == b'"blue"'
         failed = await cluster.request(job("f", [{"ms": 1}, {"fail": True}]))
-        assert failed.status == 502 and b"results" not in failed.body
+        assert failed.status == 502 and b"results" not in failed.body, failed.body
 
     run_cluster(check)
 
@@ -171,12 +172,13 @@
     """Guards against starts in a zone after its withdrawal was reported to be in force."""
 
     async def check(cluster: Cluster) -> None:
-        assert (await cluster.put("zones", "patan", {"in_service": False})).status == 200
+        put = await cluster.put("zones", "patan", {"in_service": False})
+        assert put.status == 200, put.body
         # Agents learn it from the push, or at the latest when their permits end after 1,500 ms.
         await curio.sleep(2.5)
         before = len(cluster.upstreams["u-a0"].log)
         response = await cluster.request(job("z", [{"ms": 5, "reply": n} for n in range(40)]))
-        assert response.status == 200
+        assert response.status == 200, response.body
         assert len(cluster.upstreams["u-a0"].log) == before == 0
 
     run_cluster(check)
