--- a/snipewell/home.py
+++ b/snipewell/home.py
@@ -81,6 +81,7 @@
             context.entry, context.clock, context.limits, context.protections
         )
         self._draining = False
+        self._is_planned = False
         self._propose_at_ms = 0.0
         self._leaving_at_ms = 0.0
         self._move_at_ms = 0.0
@@ -116,11 +117,16 @@
         return self._tenures.get(partition_of(key, self._limits.partitions))
 
     def on_table(self, table: PartitionTable) -> list[Effect]:
-        """Follow a table read from the store; one that is not newer is ignored."""
+        """Follow a table read from the store; one that is not newer is ignored.
+
+        A partition of which a newer epoch is known from another home is left alone until the table
+        with that epoch arrives.
+        """
         if self._table is not None and table.version <= self._table.version:
             return []
         self._table = table
         self._roles = count_holders(table.partitions)
+        self._is_planned = False
         self._propose_at_ms = 0.0
         effects: list[Effect] = []
         now_ms = self._clock.now_ms()
@@ -135,7 +141,7 @@
                     effects += self._step_down(partition, assigned.home)
             elif tenure is not None:
                 effects += tenure.on_assigned(assigned)
-            else:
+            elif assigned.epoch == self._holder.epoch_of(partition):
                 effects += self._begin(partition)
         return effects
 
@@ -163,6 +169,7 @@
         self._leaving &= set(live)
         for tenure in self._tenures.values():
             tenure.on_live(self._live)
+        self._is_planned = False
         self._propose_at_ms = 0.0
         return self._propose()
 
@@ -259,23 +266,34 @@
     def on_entry_message(self, sender: EntryId, message: PeerMessage) -> list[Effect]:
         """Take a message between homes and holders."""
         match message:
-            case Hold() | Copy():
-                deposed = self._on_newer_home(message.partition, message.epoch, message.entry)
-                answers = self._holder.on_hold(message)
-                return deposed + [SendEntry(sender, answer) for answer in answers]
-            case Fetch():
+            case Hold() | Copy() | Fetch():
                 deposed = self._on_newer_home(message.partition, message.epoch, message.entry)
-                answers = self._holder.on_fetch(message)
+                if isinstance(message, Fetch):
+                    answers = self._holder.on_fetch(message)
+                else:
+                    answers = self._holder.on_hold(message)
+                if isinstance(message, Copy):
+                    self._learn_coverage(message)
                 return deposed + [SendEntry(sender, answer) for answer in answers]
             case Release():
                 self._holder.on_release(message)
             case Leaving():
-                if message.entry in self._live:
+                if message.entry in self._live and message.entry not in self._leaving:
                     self._leaving.add(message.entry)
+                    self._is_planned = False
             case Held() | Copied() | HoldRefused() | Fetched():
                 return self._on_holder_message(message)
         return []
 
+    def _learn_coverage(self, copy: Copy) -> None:
+        """Take over from the home for how long the records have been complete."""
+        if self._table is None:
+            return
+        assigned = self._table.partitions[copy.partition]
+        if (assigned.home, assigned.epoch) == (copy.entry, copy.epoch):
+            since_ms = min(self._covered[copy.partition][1], self._clock.now_ms() - copy.covered_ms)
+            self._covered[copy.partition] = (assigned.coverage_epoch, since_ms)
+
     def _on_holder_message(self, message: Held | Copied | HoldRefused | Fetched) -> list[Effect]:
         tenure = self._tenures.get(message.partition)
         if tenure is None:
@@ -344,10 +362,9 @@
     def _plan_holders(
         self, partition: Partition, home: EntryId, table: PartitionTable
     ) -> tuple[EntryId, ...]:
-        roles = self._roles
         leaving, size = self._drained_entries(), self._limits.holders
         assigned = table.partitions[partition]
-        return plan_holders(partition, assigned, home, self._live, roles, size, leaving)
+        return plan_holders(partition, assigned, home, self._live, self._roles, size, leaving)
 
     def _propose(self) -> list[Effect]:
         """Propose the takeovers that fall to this entry and the changes of its own partitions."""
@@ -355,6 +372,9 @@
         if now_ms < self._propose_at_ms or entry not in self._live:
             return []
         self._propose_at_ms = now_ms + self._limits.hold_retry_ms
+        if self._is_planned and not self._is_changing():
+            return []
+        self._is_planned = True
         leaving = self._drained_entries()
         limits = self._limits
         planned = plan_table(table, self._live, limits.partitions, limits.holders, leaving)
@@ -377,9 +397,16 @@
         self._propose_at_ms = now_ms + limits.propose_interval_ms
         return [ProposeTable(table.version, PartitionTable(table.version, tuple(entries)))]
 
+    def _is_changing(self) -> bool:
+        """Return whether the table is not yet as planned, so that it is planned again."""
+        if self._table is None or any(e.home not in self._live for e in self._table.partitions):
+            return True
+        return any(tenure.is_changing() for tenure in self._tenures.values())
+
     def drain(self) -> list[Effect]:
         """Hand all partitions over and take no new ones."""
         self._draining = True
+        self._is_planned = False
         self._move_at_ms = self._propose_at_ms = 0.0
         return self._announce_leaving()
 
--- a/snipewell/limits.py
+++ b/snipewell/limits.py
@@ -28,6 +28,8 @@
 
     ``max_deadline_ms`` caps the deadline of a submission, because the rule that proves a plain key
     new after a gap must wait for the longest run that the gap may have hidden.
+    ``refusal_slack_ms`` is how long a refusal may take to be acknowledged by holders. A home gives
+    none that took longer, and another home keeps to a recovered refusal that much longer.
     """
 
     partitions: int = 64
@@ -48,6 +50,7 @@
     propose_interval_ms: float = 500
     quiesce_ms: float = 5_000
     retry_after_ms: int = 1_000
+    refusal_slack_ms: float = 1_000
     refusal_margin_ms: float = 5_000
     forget_after_ms: float = 30_000
     copy_records: int = 500
--- a/snipewell/register.py
+++ b/snipewell/register.py
@@ -112,7 +112,8 @@
     def _may_restart(self, run: Run) -> bool:
         now_ms = self._context.clock.now_ms()
         if isinstance(run.outcome, NotRun):
-            return now_ms >= run.ended_at_ms + run.outcome.retry_after_ms
+            slack_ms = self._context.limits.refusal_slack_ms if run.recovered else 0
+            return now_ms >= run.ended_at_ms + run.outcome.retry_after_ms + slack_ms
         return not run.granted and isinstance(run.outcome, Unknown | Impossible)
 
     def _admit(
@@ -163,7 +164,10 @@
         if run.state is RunState.HOLDING:
             return run.activate()
         assert run.outcome is not None
-        effects = run.end(run.outcome, self._context.clock.now_ms())
+        now_ms, limits = self._context.clock.now_ms(), self._context.limits
+        if now_ms > run.ended_at_ms + limits.refusal_slack_ms:
+            return self._expire(run, now_ms)
+        effects = run.end(run.outcome, now_ms)
         return effects + self.settle(run)
 
     def _join(
@@ -228,6 +232,7 @@
         if run.state is not RunState.ENDED:
             return []
         self.busy.discard(run.key)
+        self._full.pop(run.key, None)
         self._context.runs.measure(run)
         if isinstance(run.outcome, Complete):
             self._released.append(run.key)
@@ -285,7 +290,7 @@
             run.version += 1
             self.replication.change(run.key, run.version)
             return effects + self._send_hold(run) + self._advance(run)
-        if run.state is RunState.REFUSING and now_ms < run.ended_at_ms + 1_000:
+        if run.state is RunState.REFUSING and now_ms <= run.ended_at_ms + limits.refusal_slack_ms:
             return []
         step = {
             RunState.HOLDING: Step.HOLD,
--- a/snipewell/submission.py
+++ b/snipewell/submission.py
@@ -66,6 +66,11 @@
 
 
 _ENDED_SLOT = TaskSlot()
+_REASONS = {
+    TaskState.OK: "the task succeeded, but its result is no longer kept",
+    TaskState.FAILED: "the task failed",
+    TaskState.CANCELLED: "the task was cancelled",
+}
 
 
 @dataclass(slots=True)
@@ -93,6 +98,7 @@
     epoch: int = 0
     version: int = 1
     released: bool = False
+    recovered: bool = False
     producers: frozenset[AgentId] = frozenset()
     timer: int = 0
     pending_candidates: list[Candidate] = field(default_factory=list)
@@ -135,6 +141,7 @@
             epoch=record.epoch,
             version=record.version,
             released=record.age_ms >= 0,
+            recovered=True,
         )
         run.ended_at_ms = now_ms - max(record.age_ms, 0)
         if record.outcome is not None:
@@ -275,10 +282,13 @@
             return []
         if self._may_retry(slot, budget):
             return self._requeue(record.task, exclude=True)
-        reason = record.reason or record.state.value
+        return self._fail(Step.UPSTREAM, agent, record, now_ms)
+
+    def _fail(self, step: Step, agent: AgentId, record: TaskRecord, now_ms: float) -> list[Effect]:
+        reason = record.reason or _REASONS.get(record.state, "the outcome is unknown")
         if record.state is TaskState.FAILED:
             return self.end(Failed(Step.UPSTREAM, agent, reason), now_ms)
-        return self.end(Unknown(Step.UPSTREAM, agent, reason), now_ms)
+        return self.end(Unknown(step, agent, reason), now_ms)
 
     def _may_retry(self, slot: TaskSlot, budget: RetryBudget) -> bool:
         if not self.retryable or self.submission is None or self.state is not RunState.ACTIVE:
@@ -357,10 +367,7 @@
         for candidate, record in failed:
             if self.slots[record.task].agent is not None or self.retryable:
                 continue
-            reason = record.reason or record.state.value
-            if record.state is TaskState.FAILED:
-                return self.end(Failed(Step.UPSTREAM, candidate.agent, reason), now_ms)
-            return self.end(Unknown(Step.RECOVERY, candidate.agent, reason), now_ms)
+            return self._fail(Step.RECOVERY, candidate.agent, record, now_ms)
         open_slots = any(slot.agent is None and slot.body is None for slot in self.slots)
         if open_slots and (self.released or not (clean or self.retryable)):
             reason = "the home failed, and not every agent could say what it had started"
--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -172,7 +172,8 @@
         if self.phase is Phase.FETCHING:
             return
         replication = self.register.replication
-        wanted = {*self.assigned.holders, *self._wanted} & set(self._live)
+        named = dict.fromkeys((*self.assigned.holders, *self._wanted))
+        wanted = [holder for holder in named if holder in self._live]
         for holder in replication.targets():
             if holder not in wanted:
                 replication.unfollow(holder)
@@ -192,6 +193,11 @@
         self.phase = Phase.SERVING
         return self._drain_queue()
 
+    def is_changing(self) -> bool:
+        """Return whether the partition waits for a change of the table."""
+        unwanted = set(self._wanted) != set(self.assigned.holders)
+        return unwanted or self.phase is Phase.FETCHING or self.handover is not None
+
     def plan(self) -> PartitionEntry | None:
         """Return the entry that may be proposed now, or None."""
         assigned, register = self.assigned, self.register
--- a/tests/fake_agent.py
+++ b/tests/fake_agent.py
@@ -98,7 +98,7 @@
         self._world.events += [granted, started]
         self._records[start.key, start.task] = TaskRecord(start.key, start.task, TaskState.RUNNING)
         state = TaskState.OK
-        if rng.random() < 0.04:
+        if rng.random() < self._world.faults.upstream:
             state = rng.choice((TaskState.FAILED, TaskState.UNKNOWN))
         body = f"{start.payload.decode()}@{self.name}#{len(self._world.events)}".encode()
         life = self.incarnation
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -56,7 +56,7 @@
 from snipewell.outcome import NotRun, Outcome, Step, Unknown
 from snipewell.partition import PartitionTable
 from tests.fake_agent import FakeAgent
-from tests.history import Answered, Event, Invoked, Violation, check_history
+from tests.history import Answered, Event, Invoked, ProcessExited, Violation, check_history
 
 LIMITS = HomeLimits(
     partitions=4,
@@ -80,6 +80,7 @@
 
     loss: float = 0.02
     kinds: tuple[str, ...] = ()
+    upstream: float = 0.04
 
     @classmethod
     def draw(cls, rng: random.Random) -> Faults:
@@ -199,15 +200,23 @@
         def tick() -> None:
             self._apply(entry, node.homes.tick())
             self._pump(entry)
-            if node.draining and node.homes.drained():
-                node.alive = False
+            if node.draining and node.homes.drained() and entry not in self.drained:
                 self.drained.append(entry)
-                self._registration_changed()
+                self.after(300, lambda: self._exit(entry))
 
         if node.alive:
             self._when_running(node, tick)
             self.after(20, lambda: self._tick(entry))
 
+    def _exit(self, entry: EntryId) -> None:
+        """End a drained entry once its own callers have been answered."""
+        if any(origin == entry for origin, _, _ in self._waiting.values()):
+            self.after(50, lambda: self._exit(entry))
+            return
+        self.entries[entry].alive = False
+        self.events.append(ProcessExited(self.now_ms(), entry, True))
+        self._registration_changed()
+
     # Store and registration
 
     def _registered(self) -> dict[EntryId, ZoneId]:
