--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -39,14 +39,12 @@
     TeamName,
     ZoneId,
     digest_of,
-    partition_of,
     scope_key,
 )
 from snipewell.message import (
     Answer,
     CancelForward,
     Candidate,
-    Collect,
     Forward,
     Message,
     Resources,
@@ -56,7 +54,7 @@
 from snipewell.outcome import NotRun, Outcome, Step, Unknown
 from snipewell.partition import PartitionTable
 from tests.fake_agent import FakeAgent
-from tests.history import Answered, Event, Invoked, ProcessExited, Violation, check_history
+from tests.history import Answered, Event, Granted, Invoked, ProcessExited, Violation, check_history
 
 LIMITS = HomeLimits(
     partitions=4,
@@ -329,6 +327,8 @@
                 life = self.agents[agent].incarnation
                 start = node.homes.grant(task.key, task.task, agent, life)
             if start is not None:
+                granted = Granted(self.now_ms(), start.key, start.task, agent, entry, start.epoch)
+                self.events.append(granted)
                 self._to_agent(entry, agent, start)
             elif self.now_ms() < task.deadline_at_ms:
                 node.ready.append(task)
@@ -504,9 +504,6 @@
         self._announce_table()
         self._registration_changed()
 
-    def is_of(self, key: ScopedKey, collect: Collect) -> bool:
-        return partition_of(key, LIMITS.partitions) == collect.partition
-
     @property
     def agent_fence(self) -> bool:
         return self._agent_fence
