--- /dev/null
+++ b/tests/test_home.py
@@ -0,0 +1,386 @@
+"""Homes under simulated failures, each protection switched off once, and single cases by hand."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from snipewell.clock import ManualClock
+from snipewell.effect import (
+    Effect,
+    Enqueue,
+    ProposeTable,
+    Reply,
+    SendAgent,
+    SendEntry,
+    Submission,
+    Withdraw,
+)
+from snipewell.home import HomeLimits, Homes, Protections
+from snipewell.ids import (
+    AgentId,
+    EntryId,
+    Incarnation,
+    Partition,
+    RequestId,
+    ScopedKey,
+    ServiceName,
+    TaskIndex,
+    TeamName,
+    ZoneId,
+    digest_of,
+    scope_key,
+)
+from snipewell.message import (
+    Cancel,
+    Candidate,
+    Forward,
+    Load,
+    Query,
+    QueryReply,
+    RefusalReason,
+    Refused,
+    Resources,
+    Result,
+    TaskRecord,
+    TaskState,
+)
+from snipewell.outcome import (
+    Cancelled,
+    Complete,
+    Conflict,
+    Failed,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from snipewell.partition import PartitionTable
+from tests.history import Invoked, Started, check_history
+from tests.simulation import Faults, World
+
+SERVICE, TEAM = ServiceName("dye-test"), TeamName("annex")
+KEY = scope_key(TEAM, "k")
+A, B = AgentId("agent-a"), AgentId("agent-b")
+LIFE = Incarnation("1")
+CANDIDATES = [Candidate(A, LIFE), Candidate(B, LIFE)]
+
+
+class Cluster:
+    """Entries whose messages arrive at once, unless one of them is in ``silent``."""
+
+    def __init__(self, count: int, protections: Protections | None = None, **limits: float) -> None:
+        self.clock = ManualClock(1_000)
+        self.silent: set[EntryId] = set()
+        self.sent: list[Effect] = []
+        self.outcomes: dict[str, Outcome] = {}
+        self.table: PartitionTable | None = None
+        self._version = 0
+        bounds = HomeLimits(**{"partitions": 1, **limits})  # type: ignore[arg-type]
+        self.homes = {
+            entry: Homes.from_config(
+                entry, ZoneId("patan"), self.clock, Random(1), bounds, self.retry, protections
+            )
+            for entry in (EntryId(f"e{n}") for n in range(count))
+        }
+        self.retries = 0
+        self.registered = set(self.homes)
+        self.register()
+
+    def retry(self, service: ServiceName) -> bool:
+        self.retries -= 1
+        return self.retries >= 0
+
+    def register(self) -> None:
+        live = {e: ZoneId("patan") for e in self.registered}
+        for entry, homes in self.homes.items():
+            if entry not in self.silent and entry in live:
+                self.apply(entry, homes.on_entries(live))
+
+    def apply(self, entry: EntryId, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendEntry(entry=to, message=message) if not isinstance(message, Forward):
+                    if not {to, entry} & self.silent:
+                        self.apply(to, self.homes[to].on_entry_message(entry, message))
+                case ProposeTable(base_version=base, table=table) if base == self._version:
+                    self._version += 1
+                    self.table = PartitionTable.from_json(table.to_json(), self._version)
+                    self.announce()
+                case Reply(request=request, outcome=outcome):
+                    assert request not in self.outcomes
+                    self.outcomes[request] = outcome
+                case SendAgent() | Enqueue() | Withdraw() | SendEntry():
+                    self.sent.append(effect)
+
+    def announce(self) -> None:
+        assert self.table is not None
+        for entry in self.homes:
+            if entry not in self.silent:
+                self.apply(entry, self.homes[entry].on_table(self.table))
+
+    def advance(self, by_ms: float, step_ms: float = 100) -> None:
+        for _ in range(int(by_ms // step_ms)):
+            self.clock.advance(step_ms)
+            for entry in set(self.homes) - self.silent:
+                self.apply(entry, self.homes[entry].tick())
+
+    @property
+    def home(self) -> EntryId:
+        assert self.table is not None
+        return self.table.partitions[0].home
+
+    def lose(self, *entries: EntryId) -> None:
+        """Let entries fall silent and their registrations lapse, and wait for the takeover."""
+        self.silent |= set(entries)
+        self.registered -= set(entries)
+        self.register()
+        self.advance(1_000)
+
+    def submission(
+        self, request: str, tasks: int = 1, key: ScopedKey = KEY, job: bool = True, data: str = ""
+    ) -> Submission:
+        payloads = [f"{data}{n}".encode() for n in range(tasks)]
+        return Submission(
+            RequestId(request),
+            self.home,
+            key,
+            digest_of(SERVICE, payloads),
+            SERVICE,
+            TEAM,
+            payloads,
+            self.clock.now_ms() + 5_000,
+            job,
+            not job,
+            Resources(),
+        )
+
+    def submit(self, request: str, at: EntryId | None = None, **kw: object) -> None:
+        entry = at or self.home
+        submission = self.submission(request, **kw)  # type: ignore[arg-type]
+        self.apply(entry, self.homes[entry].submit(submission, CANDIDATES))
+
+    def grant(self, task: int = 0, agent: AgentId = A, at: EntryId | None = None) -> int:
+        """Return the attempt number of the grant, 0 if there is none."""
+        homes = self.homes[at or self.home]
+        start = homes.grant(KEY, TaskIndex(task), agent, LIFE)
+        return 0 if start is None else start.attempt
+
+    def result(self, task: int = 0, agent: AgentId = A, state: TaskState = TaskState.OK) -> None:
+        body = f"r{task}".encode() if state is TaskState.OK else b""
+        message = Result(KEY, TaskIndex(task), state, body, "", 1.0, Load())
+        self.apply(self.home, self.homes[self.home].on_agent_message(agent, message))
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_no_promise_is_broken_under_random_failures(seed: int) -> None:
+    """Guards every promise on submissions against loss, pauses, deaths and store outages."""
+    assert World(seed).run() == []
+
+
+SWITCHES = [
+    ("holder_acknowledgement", 29, Faults(0.05, ("pause_and_kill", "kill_entry"))),
+    ("agent_fence", 85, Faults(0.05, ("pause_entry", "pause_entry"))),
+    ("collect_before_resume", 0, Faults(0.01, ("kill_entry",))),
+    ("refusal_memory", 2, Faults(0.01, ("pause_entry",))),
+    ("one_grant", 0, Faults(0.01, ("pause_agent",))),
+    ("coverage", 20, Faults(0.01, ("pause_and_kill",))),
+]
+
+
+@pytest.mark.parametrize(("switch", "seed", "faults"), SWITCHES)
+def test_checker_notices_a_missing_protection(switch: str, seed: int, faults: Faults) -> None:
+    """Guards against a protection, or a check, that has no effect."""
+    assert World(seed, faults).run() == []
+    if switch == "agent_fence":
+        world = World(seed, faults, agent_fence=False)
+    else:
+        world = World(seed, faults, Protections(**{switch: False}))
+    assert world.run() != []
+
+
+@pytest.mark.parametrize("protected", [True, False])
+def test_paused_home_admits_nothing_once_it_is_replaced(protected: bool) -> None:
+    """Guards against a home that wakes with an old table and starts a key that ran elsewhere."""
+    cluster = Cluster(3, Protections(holder_epoch=protected))
+    old = cluster.home
+    cluster.lose(old)
+    events = []
+    for entry, agent in ((cluster.home, A), (old, B)):
+        cluster.silent.clear()
+        cluster.submit(f"r-{entry}", at=entry)
+        events.append(Invoked(0, f"r-{entry}", KEY, 1, False, True))
+        if cluster.grant(agent=agent, at=entry):
+            events.append(Started(0, KEY, 0, agent))
+    assert (check_history(events) == []) == protected
+
+
+def test_job_fails_whole_as_soon_as_one_task_has_failed() -> None:
+    """Guards against partial answers and against work that goes on for a failed job."""
+    cluster = Cluster(3)
+    cluster.submit("r1", tasks=3)
+    assert cluster.grant(0, A) and cluster.grant(1, B)
+    cluster.result(0, A)
+    cluster.result(1, B, TaskState.FAILED)
+    assert isinstance(cluster.outcomes["r1"], Failed)
+    assert Withdraw(KEY) in cluster.sent
+    assert cluster.grant(2) == 0
+
+
+def test_results_are_in_the_order_of_the_tasks() -> None:
+    """Guards against results in the order in which they arrived."""
+    cluster = Cluster(1)
+    cluster.submit("r1", tasks=2)
+    assert cluster.grant(0, A) and cluster.grant(1, B)
+    cluster.result(1, B)
+    cluster.result(0, A)
+    assert cluster.outcomes["r1"] == Complete([b"r0", b"r1"])
+
+
+def test_late_refusal_of_an_earlier_grant_changes_nothing() -> None:
+    """Guards against a second start while the agent that refused before runs the task."""
+    cluster = Cluster(1)
+    cluster.submit("r1")
+    refused = Refused(KEY, TaskIndex(0), RefusalReason.BUSY, 1, Load(), cluster.grant())
+    home = cluster.homes[cluster.home]
+    home.on_agent_message(A, refused)
+    assert cluster.grant() == 2
+    home.on_agent_message(A, refused)
+    assert cluster.grant(agent=B) == 0
+
+
+def test_resubmission_joins_then_gets_the_kept_outcome() -> None:
+    """Guards against a second run of a key, and against an answer to another payload."""
+    cluster = Cluster(3)
+    cluster.submit("r1")
+    cluster.submit("r2")
+    cluster.submit("r3", data="other")
+    assert isinstance(cluster.outcomes["r3"], Conflict)
+    assert cluster.grant()
+    cluster.result()
+    cluster.submit("r4")
+    complete = Complete([b"r0"])
+    assert [cluster.outcomes[r] for r in ("r1", "r2", "r4")] == [complete] * 3
+
+
+def test_cancel_answers_every_caller_and_stops_running_tasks() -> None:
+    """Guards against callers left waiting and work that goes on after a cancellation."""
+    cluster = Cluster(3)
+    cluster.submit("r1", tasks=2)
+    assert cluster.grant(0, A)
+    home = cluster.homes[cluster.home]
+    cluster.apply(cluster.home, home.cancel(RequestId("c1"), KEY))
+    assert cluster.outcomes == {"r1": Cancelled(1), "c1": Cancelled(1)}
+    assert SendAgent(A, Cancel(KEY, [TaskIndex(0)])) in cluster.sent
+
+
+def test_silent_agent_is_queried_until_the_deadline() -> None:
+    """Guards against a second start, or a lost caller, when an agent falls silent."""
+    cluster = Cluster(1)
+    cluster.submit("r1")
+    assert cluster.grant()
+    cluster.advance(4_900)
+    queries = [e for e in cluster.sent if isinstance(e, SendAgent) and isinstance(e.message, Query)]
+    assert len(queries) >= 3 and cluster.grant(agent=B) == 0
+    cluster.advance(200)
+    assert isinstance(cluster.outcomes["r1"], Unknown)
+
+
+@pytest.mark.parametrize(("job", "budget", "granted"), [(True, 1, 0), (False, 0, 0), (False, 1, 2)])
+def test_only_idempotent_single_requests_are_retried(job: bool, budget: int, granted: int) -> None:
+    """Guards against retries of work that must not run twice, and against retry storms."""
+    cluster = Cluster(1)
+    cluster.retries = budget
+    cluster.submit("r1", job=job)
+    assert cluster.grant()
+    record = TaskRecord(KEY, TaskIndex(0), TaskState.NOT_STARTED)
+    reply = QueryReply(KEY, A, Incarnation("2"), [record])
+    cluster.apply(cluster.home, cluster.homes[cluster.home].on_agent_message(A, reply))
+    assert cluster.grant(agent=B) == granted
+    assert isinstance(cluster.outcomes.get("r1"), Unknown) == (granted == 0)
+
+
+def test_refusal_binds_the_next_home_too() -> None:
+    """Guards against an attempt under way that starts elsewhere after "not run" was said."""
+    cluster = Cluster(3)
+    refusal = NotRun("quota", 5_000, True)
+    home = cluster.homes[cluster.home]
+    cluster.apply(cluster.home, home.refuse(cluster.submission("r1"), refusal))
+    assert cluster.outcomes["r1"] == refusal
+    cluster.lose(cluster.home)
+    cluster.submit("r2")
+    assert isinstance(cluster.outcomes["r2"], NotRun) and cluster.grant() == 0
+    cluster.advance(6_000)
+    cluster.submit("r3")
+    assert cluster.grant()
+
+
+def test_work_at_the_bound_is_refused_as_not_run() -> None:
+    """Guards against records that are dropped early, or memory without bound, under a burst."""
+    cluster = Cluster(1, max_records=1, max_refusals=1)
+    for number in range(3):
+        cluster.submit(f"r{number}", key=scope_key(TEAM, f"k{number}"))
+    assert isinstance(cluster.outcomes["r1"], NotRun)
+    assert isinstance(cluster.outcomes["r2"], Unknown)
+
+
+def test_holders_at_their_bound_end_the_submission_without_a_start() -> None:
+    """Guards against starts that no majority has recorded, and callers left waiting."""
+    cluster = Cluster(3)
+    for entry, homes in cluster.homes.items():
+        if entry != cluster.home:
+            homes._holder._limits = HomeLimits(max_records=0)
+    cluster.submit("r1")
+    outcome = cluster.outcomes["r1"]
+    assert isinstance(outcome, Unknown) and not outcome.attempt_started and cluster.grant() == 0
+
+
+def test_after_a_gap_only_tickets_prove_a_key_new() -> None:
+    """Guards against running a key whose record was lost with home and holders."""
+    cluster = Cluster(4)
+    assert cluster.table is not None
+    old_ticket = cluster.homes[cluster.home].issue_tickets(Partition(0), 1)[0]
+    cluster.lose(*cluster.table.partitions[0].holders)
+    assert cluster.table.partitions[0].coverage_epoch > 0
+    cluster.submit("plain")
+    cluster.submit("old", key=scope_key(TEAM, old_ticket))
+    ticket = cluster.homes[cluster.home].issue_tickets(Partition(0), 1)[0]
+    cluster.submit("new", key=scope_key(TEAM, ticket))
+    assert set(cluster.outcomes) == {"plain", "old"}
+    assert all(isinstance(outcome, Unknown) for outcome in cluster.outcomes.values())
+
+
+def test_record_outlives_the_window_of_its_key() -> None:
+    """Guards against a resubmission that runs again within the window, and a ticket after it."""
+    cluster = Cluster(1, window_ms=90_000)
+    ticket = cluster.homes[cluster.home].issue_tickets(Partition(0), 1)[0]
+    cluster.submit("r1")
+    assert cluster.grant()
+    cluster.result()
+    cluster.advance(89_000, 1_000)
+    cluster.submit("r2")
+    assert cluster.outcomes["r2"] == Complete([b"r0"])
+    cluster.advance(2_000, 1_000)
+    cluster.submit("late", key=scope_key(TEAM, ticket))
+    assert isinstance(cluster.outcomes["late"], Unknown)
+    cluster.submit("r3")
+    assert cluster.grant() == 1
+
+
+def test_drain_forwards_waiting_keys_after_running_work_has_ended() -> None:
+    """Guards against work cut off, or keys dropped, while a partition is handed over."""
+    cluster = Cluster(3)
+    old = cluster.home
+    cluster.submit("r1")
+    assert cluster.grant()
+    cluster.apply(old, cluster.homes[old].drain())
+    cluster.advance(500)
+    cluster.submit("r2", key=scope_key(TEAM, "k2"))
+    assert cluster.home == old and not cluster.homes[old].drained()
+    cluster.result()
+    cluster.advance(1_000)
+    assert cluster.home != old and cluster.homes[old].drained()
+    forwards = [e.message for e in cluster.sent if isinstance(e, SendEntry)]
+    assert [f.request for f in forwards if isinstance(f, Forward)] == ["r2"]
+    cluster.submit("r3")
+    assert cluster.outcomes["r3"] == cluster.outcomes["r1"] == Complete([b"r0"])
--- /dev/null
+++ b/tests/test_partition.py
@@ -0,0 +1,148 @@
+"""The table planner as entries come and go, and the table's codec."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from snipewell.ids import EntryId, Epoch, Partition, ZoneId
+from snipewell.limits import read_quorum
+from snipewell.partition import (
+    PartitionEntry,
+    PartitionTable,
+    count_holders,
+    count_homes,
+    plan_holders,
+    plan_move,
+    plan_table,
+)
+
+ZONES = ("patan", "bhaktapur", "kirtipur")
+
+
+class PlannerMachine(RuleBasedStateMachine):
+    """Entries join, die and drain; the table follows as homes would change it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.live = {EntryId("e0"): ZoneId("patan")}
+        self.draining: set[EntryId] = set()
+        self.count = 1
+        planned = plan_table(None, self.live, 16)
+        assert planned is not None
+        self.table = planned
+
+    @rule()
+    @precondition(lambda self: len(self.live) < 9)
+    def join(self) -> None:
+        self.live[EntryId(f"e{self.count}")] = ZoneId(ZONES[self.count % 3])
+        self.count += 1
+
+    @rule(data=st.data())
+    @precondition(lambda self: len(self.live) > 1)
+    def drain(self, data: st.DataObject) -> None:
+        if len(self.live) - len(self.draining) > 1:
+            self.draining.add(data.draw(st.sampled_from(sorted(self.live))))
+
+    @rule(data=st.data(), together=st.integers(1, 3))
+    @precondition(lambda self: len(self.live) > 3)
+    def die(self, data: st.DataObject, together: int) -> None:
+        for _ in range(together):
+            dead = data.draw(st.sampled_from(sorted(self.live)))
+            del self.live[dead]
+            self.draining.discard(dead)
+        if set(self.live) <= self.draining:
+            self.draining.clear()
+        self.take_over()
+
+    def take_over(self) -> None:
+        old = self.table.partitions
+        self.table = plan_table(self.table, self.live, 16, 3, self.draining) or self.table
+        for before, after in zip(old, self.table.partitions, strict=True):
+            survivors = [h for h in before.holders if h in self.live]
+            if before.home in self.live:
+                assert after == before, "a partition moved although its home lives"
+                continue
+            assert after.epoch == before.epoch + 1 and after.home in self.live
+            if len(survivors) >= read_quorum(len(before.holders)):
+                assert after.home in survivors and after.holders == before.holders
+                assert after.coverage_epoch == before.coverage_epoch
+            else:
+                assert after.holders == (after.home,) and after.coverage_epoch == after.epoch
+
+    @rule()
+    def settle(self) -> None:
+        """Apply what homes propose until nothing changes; it must end, evenly spread."""
+        for _ in range(400):
+            if not self.step():
+                break
+        else:
+            raise AssertionError("the table never settles")
+        usable = [e for e in self.live if e not in self.draining]
+        homes, roles = (
+            count_homes(self.table.partitions),
+            count_holders(self.table.partitions),
+        )
+        assert max(homes[e] for e in usable) - min(homes[e] for e in usable) <= 1
+        assert set(homes) <= set(usable) and set(roles) <= set(usable)
+        for entry in self.table.partitions:
+            assert len(entry.holders) == min(3, len(usable))
+
+    def step(self) -> bool:
+        for number, entry in enumerate(self.table.partitions):
+            roles = count_holders(self.table.partitions)
+            if entry.home not in self.draining:
+                holders = plan_holders(
+                    number, entry, entry.home, self.live, roles, 3, self.draining
+                )
+                if holders != entry.holders:
+                    self.change(number, entry.home, holders)
+                    return True
+            own = [
+                Partition(n) for n, e in enumerate(self.table.partitions) if e.home == entry.home
+            ]
+            move = plan_move(self.table, entry.home, self.live, self.draining, own, 0)
+            if move is not None:
+                partition, home = move
+                moved = self.table.partitions[partition]
+                holders = plan_holders(partition, moved, home, self.live, roles, 3, self.draining)
+                self.change(partition, home, holders)
+                return True
+        return False
+
+    def change(self, number: int, home: EntryId, holders: tuple[EntryId, ...]) -> None:
+        entries = list(self.table.partitions)
+        old = entries[number]
+        entries[number] = PartitionEntry(home, holders, Epoch(old.epoch + 1), old.coverage_epoch)
+        self.table = PartitionTable(0, tuple(entries))
+
+    @invariant()
+    def every_home_is_a_live_holder(self) -> None:
+        for entry in self.table.partitions:
+            assert entry.home in entry.holders and entry.home in self.live
+        assert PartitionTable.from_json(self.table.to_json(), 0) == self.table
+
+
+TestPlanner = PlannerMachine.TestCase
+TestPlanner.settings = settings(max_examples=60, stateful_step_count=20, deadline=None)
+
+
+def test_first_table_spreads_homes_and_zones() -> None:
+    """Guards against a first table that gives one entry or one zone all partitions."""
+    live = {EntryId(f"e{n}"): ZoneId(ZONES[n % 3]) for n in range(6)}
+    table = plan_table(None, live, 64)
+    assert table is not None
+    homes = count_homes(table.partitions)
+    assert max(homes.values()) - min(homes.values()) <= 1 and len(homes) == 6
+    for entry in table.partitions:
+        assert {live[h] for h in entry.holders} == set(ZONES)
+
+
+def test_inconsistent_table_is_rejected() -> None:
+    """Guards against a home that is no holder, whose records no quorum would see."""
+    with pytest.raises(ValueError, match="partition 0"):
+        PartitionTable.from_json(b'[{"home":"a","holders":["b"],"epoch":1,"coverage_epoch":0}]', 1)
+    with pytest.raises(ValueError, match="partition table"):
+        PartitionTable.from_json(b"[1]", 1)
