--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -152,6 +152,7 @@
             self._wait_in_force,
             self._count_at,
             self._token,
+            self.core.membership.conditions,
         )
         self._edge = Edge(
             self.id,
