Restore a store that went back with the first write after it

The store refused nothing, but its revisions were below those in force, so no entry accepted a write until other traffic had raised them. A write now raises the revision and writes back every value that the store lost, so that entries that start later read what is in force.

--- a/snipewell/resources.py
+++ b/snipewell/resources.py
@@ -23,6 +23,7 @@
 from .ids import Revision
 from .outcome import Invalid, SnipewellError
 from .resource import Condition, Document, Kind, SpecError, Status, parse_spec, split_error
+from .restore import is_behind, restore
 from .server import response_from_invalid
 from .store import (
     Store,
@@ -324,14 +325,11 @@
 
     async def _plan(self, kind: Kind, batch: list[_Pending]) -> tuple[Plan, Revision]:
         """Read the kind, fill in the verdicts, and return the plan and the revision it rests on."""
-        in_force = self._configuration.revision
-        listing = await self._store.list(part_key(kind))
-        if listing.revision < in_force:
-            reason = (
-                f"the store is at revision {listing.revision}, behind {in_force} in force; "
-                "nothing was written"
-            )
-            raise StoreUnreachableError("store", reason)
+        prefix = part_key(kind)
+        listing = await self._store.list(prefix)
+        if is_behind(self._configuration, listing.revision, listing.values, prefix):
+            await restore(self._store, self._configuration)
+            listing = await self._store.list(prefix)
         values = {key: (int(v.revision), v.value) for key, v in listing.values.items()}
         try:
             parts = collect_parts(kind, values, self._configuration)
--- a/snipewell/store.py
+++ b/snipewell/store.py
@@ -171,6 +171,20 @@
         request = Request("DELETE", _path(key), {"if_revision": str(if_revision)})
         return await self._write(request, key, if_revision, None)
 
+    async def advance(self, key: str, revision: Revision, limit: int) -> Revision:
+        """Write ``key`` until the store is at ``revision``, at most ``limit`` times.
+
+        For a store that went back: its next changes must get revisions that were never used.
+        Returns the revision reached.
+        """
+        value = await self.get(key)
+        current = value.revision if value is not None else Revision(0)
+        for _ in range(limit):
+            current = await self.compare_and_swap(key, b"", current)
+            if current >= revision:
+                break
+        return current
+
     async def lease(self, ttl_ms: int) -> str:
         """Return a new lease. One whose answer was lost lapses unused."""
         body = msgspec.json.encode(keyvalue.LeaseBody(ttl_ms))
