Check histories of real processes under faults

Promises had only been checked on the decision code. Eight schedules run store, balancer, three entries, six agents and six upstreams as processes, kill, pause and replace them, take zones out and break the store and the upstreams; the checker judges what the upstreams logged. Ports now come from below the range of connections.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -47,6 +47,7 @@
 HOST = "127.0.0.1"
 ZONES = ("patan", "bhaktapur", "kirtipur")
 READY_LIMIT_S = 30.0
+_used: set[int] = set()
 
 
 def now_ms() -> float:
@@ -55,14 +56,30 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports; they are bound together, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return free ports below the range from which the kernel takes ports of connections.
+
+    A port of that range may be taken by a connection before its process binds it again. The first
+    port depends on the process id, so that two test runs at once look in different places.
+    """
+    start = 10_000 + os.getpid() * 97 % 15_000
+    ports: list[int] = []
+    for port in range(start + len(_used), 32_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _used:
+            ports.append(port)
+            _used.add(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports")
+
+
+def expected_reply(key: str, task: int) -> str:
+    """Return the reply that callers put into the payload of a task, unique to it."""
+    return f"{key}/{task}"
 
 
 @dataclass
@@ -377,15 +394,14 @@
         """Return the history with the starts and ends that the upstreams logged."""
         events = list(self.events)
         for name, address in self.upstreams.items():
-            for entry in call("GET", address, "/log").json()["starts"]:
-                key = entry["key"].partition("/")[2]
-                agent = f"a{name[1:]}"
-                zone = self.zone_of[name]
-                events.append(Started(entry["at_ms"], key, entry["task"], agent, zone, name))
-                if entry.get("end_ms") is not None:
-                    state = TaskState(entry.get("state", "ok"))
-                    body = json.dumps(entry.get("reply")).encode()
-                    events.append(Ended(entry["end_ms"], key, entry["task"], agent, state, body))
+            for start in call("GET", address, "/log").json()["starts"]:
+                key, task = start["key"].partition("/")[2], start["task"]
+                agent, zone = f"a{name[1:]}", self.zone_of[name]
+                events.append(Started(start["at_ms"], key, task, agent, zone, name))
+                if start["end_ms"] is not None:
+                    body = json.dumps(start["reply"]).encode()
+                    state = TaskState(start["state"])
+                    events.append(Ended(start["end_ms"], key, task, agent, state, body))
         return sorted(events, key=lambda event: event.at_ms)
 
 
