Bound the agent's memory, and report every end of a call

Reports can't be cancelled. A socket to an address closes that of another peer to the same address. Ticks come every 50 ms.

--- a/snipewell/agentd.py
+++ b/snipewell/agentd.py
@@ -35,7 +35,8 @@
 from .transport import Dealers, agent_identity
 from .web import Request, Response
 
-_TICK_S = 0.02
+_TICK_S = 0.05
+"""Queued tasks expire and heartbeats go out with this precision."""
 _FETCH_TIMEOUT_MS = 1_000
 _GONE_MS = 5_000
 """An entry that is not listed is kept while it answers, as a list may come from an outdated one."""
@@ -122,7 +123,7 @@
             await refresh.cancel()
             await self._dealers.close()
             await self._upstream.close()
-            self._context.term()
+            self._context.destroy(linger=0)
         return 1 if self.cut else 0
 
     async def _tick(self) -> None:
@@ -214,13 +215,17 @@
         except curio.TaskCancelled:
             reason = "cut off at shutdown" if self._cutting else "cancelled"
             end = CallEnd.UNKNOWN if self._cutting else CallEnd.CUT
-        finally:
-            self._calls.pop((call.key, call.task), None)
+        except Exception as error:
+            # Without an end the slot would stay occupied for ever.
+            reason = f"internal error: {error!r}"
+        self._calls.pop((call.key, call.task), None)
         if end not in (CallEnd.OK, CallEnd.CUT):
             self._log.info(
                 "agent", "call ended badly", key=call.key, task=call.task, end=end.value, why=reason
             )
-        await self._apply(self.agent.on_upstream_end(call.key, call.task, end, body, reason))
+        # A cut that came too late must not interrupt the report, nor the starts that follow it.
+        async with curio.disable_cancellation():
+            await self._apply(self.agent.on_upstream_end(call.key, call.task, end, body, reason))
 
     async def _exchange(self, call: CallUpstream) -> tuple[CallEnd, bytes, str]:
         """Return how a call ended, with the body of the answer or the reason."""
--- a/snipewell/ledger.py
+++ b/snipewell/ledger.py
@@ -204,10 +204,8 @@
         if end in (CallEnd.NOT_SENT, CallEnd.NOT_PERMITTED):
             actions = [self._take_back(record, call, end)]
         else:
-            record.state = _END_STATES[end]
             record.reason = reason[:_MAX_REASON]
-            record.call = None
-            self.records.keep_body(key, record, body)
+            self.records.end(key, record, _END_STATES[end], body)
             report = TaskRecord(key, task, record.state, body, record.reason)
             elapsed_ms = self._clock.now_ms() - call.started_ms
             actions = [Send(call.entry, self._result(report, elapsed_ms))]
--- a/snipewell/record.py
+++ b/snipewell/record.py
@@ -7,18 +7,24 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .clock import Clock
 from .ids import EntryId, Epoch, Partition, ScopedKey, TaskIndex
 from .message import Start, TaskRecord, TaskState
 
+_RESULT_OVERHEAD_BYTES = 128
+"""Counted for each ended record that is kept in full, besides its body and reason."""
+_MARKS = 64
+"""Parts of the window to which ends are rounded up, so that keys that end together share a mark."""
+
 
 @dataclass(frozen=True, slots=True)
 class RecordLimits:
-    """Bounds: ``records`` counts tasks and task fences, ``result_bytes`` the bodies kept."""
+    """Bounds: ``records`` counts tasks and task fences, ``result_bytes`` the results kept."""
 
     records: int = 50_000
     result_bytes: int = 8 * 1024 * 1024
@@ -71,15 +77,61 @@
         kept = self.state is TaskState.OK
         return TaskRecord(key, task, self.state, self.body, self.reason, kept)
 
+    @property
+    def result_bytes(self) -> int:
+        """Bytes that a result counts for; only ended records that are kept in full have one."""
+        if self.call is not None or self.body is None or self.is_fence:
+            return 0
+        return _RESULT_OVERHEAD_BYTES + len(self.body) + len(self.reason)
+
+
+_DROPPED = {
+    state: StartRecord(state, Epoch(0), None)
+    for state in (TaskState.OK, TaskState.FAILED, TaskState.UNKNOWN, TaskState.CANCELLED)
+}
+"""What remains of ended tasks whose results were dropped. Shared, and therefore never changed."""
+
 
-@dataclass(slots=True)
 class _Key:
-    """The records of one key. ``touched_ms`` is the time from which the window counts."""
+    """The records of one key; the first is kept without a dict, as most keys have only one task.
+
+    The window counts from ``mark_ms``. A dict for one record takes 184 bytes.
+    """
 
-    partition: Partition
-    touched_ms: float
-    forgotten: bool = False
-    tasks: dict[TaskIndex, StartRecord] = field(default_factory=dict)
+    __slots__ = ("_first", "_more", "_record", "forgotten", "mark_ms", "partition")
+
+    def __init__(self, partition: Partition, mark_ms: float) -> None:
+        self.partition = partition
+        self.mark_ms = mark_ms
+        self.forgotten = False
+        self._first = TaskIndex(-1)
+        self._record: StartRecord | None = None
+        self._more: dict[TaskIndex, StartRecord] | None = None
+
+    def get(self, task: TaskIndex) -> StartRecord | None:
+        if task == self._first:
+            return self._record
+        return self._more.get(task) if self._more is not None else None
+
+    def set(self, task: TaskIndex, record: StartRecord) -> None:
+        if self._record is None and self._more is None:
+            self._first = task
+        if task == self._first:
+            self._record = record
+        elif self._more is None:
+            self._more = {task: record}
+        else:
+            self._more[task] = record
+
+    def remove(self, task: TaskIndex) -> None:
+        if task == self._first:
+            self._record = None
+        elif self._more is not None:
+            del self._more[task]
+
+    def items(self) -> list[tuple[TaskIndex, StartRecord]]:
+        first = [(self._first, self._record)] if self._record is not None else []
+        return [*first, *(self._more.items() if self._more is not None else ())]
 
 
 class Records:
@@ -88,18 +140,20 @@
     def __init__(self, clock: Clock, limits: RecordLimits) -> None:
         self.count = 0
         """Records and task fences kept."""
-        self.body_bytes = 0
-        """Bytes of the result bodies kept."""
+        self.result_bytes = 0
+        """Bytes of the results kept, with an overhead for each."""
         self._clock = clock
         self._limits = limits
+        self._mark_step_ms = limits.window_ms / _MARKS
         self._keys: dict[ScopedKey, _Key] = {}
         self._forgotten: deque[ScopedKey] = deque()
-        self._expiries: deque[tuple[float, ScopedKey]] = deque()
+        self._marks: dict[float, list[ScopedKey]] = {}
+        self._sweep_at_ms = 0.0
 
     def find(self, key: ScopedKey, task: TaskIndex) -> StartRecord | None:
         """Return the record or fence of a task, or None."""
         records = self._keys.get(key)
-        return records.tasks.get(task) if records is not None else None
+        return records.get(task) if records is not None else None
 
     def of_partition(
         self, partition: Partition
@@ -107,7 +161,7 @@
         """Iterate over the start records of a partition, without fences."""
         for key, records in self._keys.items():
             if records.partition == partition:
-                for task, record in records.tasks.items():
+                for task, record in records.items():
                     if not record.is_fence:
                         yield key, task, record
 
@@ -122,19 +176,21 @@
         """Keep ``record``, and count the window of its key from ``until_ms`` at the earliest."""
         records = self._keys.get(key)
         if records is None:
-            records = self._keys[key] = _Key(partition, until_ms)
-            self._expiries.append((until_ms + self._limits.window_ms, key))
-        records.touched_ms = max(records.touched_ms, until_ms)
-        if task not in records.tasks:
+            mark_ms = self._mark(until_ms)
+            records = self._keys[key] = _Key(partition, mark_ms)
+            self._marks[mark_ms].append(key)
+        else:
+            self._touch(records, until_ms)
+        if records.get(task) is None:
             self.count += 1
-        records.tasks[task] = record
+        records.set(task, record)
 
     def remove(self, key: ScopedKey, task: TaskIndex) -> None:
         """Drop the record of a task that did not start."""
         records = self._keys[key]
-        del records.tasks[task]
+        records.remove(task)
         self.count -= 1
-        if not records.tasks:
+        if not records.items():
             del self._keys[key]
 
     def fence(
@@ -150,19 +206,31 @@
         """Count the window of ``key`` from now."""
         records = self._keys.get(key)
         if records is not None:
-            records.touched_ms = max(records.touched_ms, self._clock.now_ms())
+            self._touch(records, self._clock.now_ms())
+
+    def _touch(self, records: _Key, now_ms: float) -> None:
+        if now_ms > records.mark_ms:
+            records.mark_ms = self._mark(now_ms)
 
-    def keep_body(self, key: ScopedKey, record: StartRecord, body: bytes) -> None:
+    def _mark(self, now_ms: float) -> float:
+        """Return ``now_ms`` rounded up, as an object that all keys with this mark share."""
+        mark_ms = math.ceil(now_ms / self._mark_step_ms) * self._mark_step_ms
+        if mark_ms not in self._marks:
+            self._marks[mark_ms] = []
+            return mark_ms
+        return next(known for known in reversed(self._marks) if known == mark_ms)
+
+    def end(self, key: ScopedKey, record: StartRecord, state: TaskState, body: bytes) -> None:
         """Keep the result of a task, even beyond the bound, as it was promised room."""
-        record.body = body
-        self.body_bytes += len(body)
+        record.state, record.call, record.body = state, None, body
+        self.result_bytes += record.result_bytes
         if self._keys[key].forgotten:
             self._forgotten.append(key)
         self._make_room()
         self.touch(key)
 
     def forget(self, key: ScopedKey) -> None:
-        """Let the result bodies of ``key`` go first when room is needed."""
+        """Let the results of ``key`` go first when room is needed."""
         records = self._keys.get(key)
         if records is not None and not records.forgotten:
             records.forgotten = True
@@ -174,31 +242,38 @@
         return self.count < self._limits.records and self._make_room()
 
     def _make_room(self) -> bool:
-        """Drop bodies of forgotten keys, oldest first, while over the bound; return if under it."""
-        while self.body_bytes >= self._limits.result_bytes and self._forgotten:
+        """Drop results of forgotten keys, oldest first, while over the bound; return if under."""
+        while self.result_bytes >= self._limits.result_bytes and self._forgotten:
             records = self._keys.get(self._forgotten.popleft())
-            for record in records.tasks.values() if records is not None else ():
-                if record.body:
-                    self.body_bytes -= len(record.body)
-                    record.body = None
-        return self.body_bytes < self._limits.result_bytes
+            for task, record in records.items() if records is not None else ():
+                if records is not None and record.result_bytes:
+                    self.result_bytes -= record.result_bytes
+                    records.set(task, _DROPPED[record.state])
+        return self.result_bytes < self._limits.result_bytes
 
     def drop_old(self) -> None:
         """Drop keys whose window is over; keys that were touched since are looked at later."""
         now_ms = self._clock.now_ms()
-        while self._expiries and self._expiries[0][0] <= now_ms:
-            _, key = self._expiries.popleft()
-            records = self._keys.get(key)
-            if records is None:
-                continue
-            expiry_ms = records.touched_ms + self._limits.window_ms
-            if any(record.call is not None for record in records.tasks.values()):
-                expiry_ms = now_ms + self._limits.window_ms
-            if expiry_ms > now_ms:
-                self._expiries.append((expiry_ms, key))
-                continue
-            del self._keys[key]
-            self.count -= len(records.tasks)
-            self.body_bytes -= sum(len(record.body or b"") for record in records.tasks.values())
+        if now_ms < self._sweep_at_ms:
+            return
+        self._sweep_at_ms = now_ms + self._mark_step_ms / 4
+        for mark_ms in [m for m in self._marks if m + self._limits.window_ms <= now_ms]:
+            for key in self._marks.pop(mark_ms):
+                self._drop(key, now_ms)
         while self._forgotten and self._forgotten[0] not in self._keys:
             self._forgotten.popleft()
+
+    def _drop(self, key: ScopedKey, now_ms: float) -> None:
+        """Drop ``key`` if its window is over, otherwise list it under its present mark."""
+        records = self._keys.get(key)
+        if records is None:
+            return
+        kept = records.items()
+        if any(record.call is not None for _, record in kept):
+            self._touch(records, now_ms)
+        if records.mark_ms + self._limits.window_ms > now_ms:
+            self._marks.setdefault(records.mark_ms, []).append(key)
+            return
+        del self._keys[key]
+        self.count -= len(kept)
+        self.result_bytes -= sum(record.result_bytes for _, record in kept)
--- a/snipewell/transport.py
+++ b/snipewell/transport.py
@@ -280,18 +280,27 @@
     async def connect(self, peer: str, address: str, curve: CurveKeys | None = None) -> None:
         """Open a socket to ``peer`` at ``address`` (``ip:port``).
 
-        Nothing happens if there is one to that address; one to another address is replaced.
+        Nothing happens if there is one to that address; one to another address is replaced. A
+        socket of another peer to the same address is closed: that peer is gone, and both sockets
+        would take the identity from each other for ever. Raise zmq.ZMQError for a bad address.
         """
         if peer in self._owners:
             if self._addresses[peer] == (address, curve):
                 return
             await self.disconnect(peer)
+        for other, (used, _) in list(self._addresses.items()):
+            if used == address:
+                await self.disconnect(other)
         socket = _open(self._context, zmq.DEALER, self._identity, self._limits)
         if curve is not None:
             socket.setsockopt(zmq.CURVE_PUBLICKEY, curve.public)
             socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret)
             socket.setsockopt(zmq.CURVE_SERVERKEY, curve.server_public or b"")
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close(linger=0)
+            raise
         owner = _Owner(socket, peer, self._deliver, self._undelivered, self._limits, self.counters)
         self._owners[peer] = owner
         self._addresses[peer] = (address, curve)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -246,7 +246,7 @@
     assert agent.records.count == 2
     clock.advance(10_000)
     agent.tick(True)
-    assert agent.records.count == agent.records.body_bytes == 0
+    assert agent.records.count == agent.records.result_bytes == 0
 
 
 def test_only_bodies_of_forgotten_keys_go_and_a_dropped_body_is_not_an_empty_answer() -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -152,6 +152,34 @@
     run(scenario)
 
 
+def test_restarted_peer_at_the_same_address_replaces_the_earlier_one() -> None:
+    """Guards against two sockets to one router that take the identity from each other."""
+    received: list[int] = []
+
+    async def scenario(context: zmq.Context) -> None:
+        async def serve(peer: str, message: AnyMessage) -> None:
+            await routers[-1].send(peer, message)
+
+        routers = [Router(context, ENTRY, "127.0.0.1:0", serve)]
+        await routers[0].start()
+        address = routers[0].address
+        dealers = Dealers(context, AGENT, lambda _peer, message: received.append(message.sequence))
+        await dealers.connect(ENTRY, address)
+        await until_connected(dealers, received)
+        await routers[0].close()
+        routers.append(Router(context, "e1.bb", address, serve))
+        await routers[1].start()
+        await dealers.connect("e1.bb", address)
+        assert dealers.peers() == {"e1.bb": address}
+        while not received:
+            await dealers.send("e1.bb", permit(0))
+            await curio.sleep(0.02)
+        await dealers.close()
+        await routers[1].close()
+
+    run(scenario)
+
+
 def test_identities_tell_agents_from_entries() -> None:
     """Guards against an entry's messages being taken for those of an agent."""
     assert parse_agent_identity(AGENT) == ("a-1", "01")
