Reserve slots for short work on the faster upstreams only, and none under pressure

Change: bulk jobs leave 3 of 8 slots of the faster half, and none while more than 5 s of work waits.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -32,7 +32,7 @@
 
 def product_policy() -> Policy:
     """Return the default policy of the product."""
-    return ExpectedFinish(Binding(share_queue=1, bulk_reserve=0.13))
+    return ExpectedFinish(Binding(share_queue=1, bulk_reserve=0.38))
 
 
 def world_configs() -> dict[str, WorldConfig]:
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 
 from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
 from .backlog import Backlog, Batch, PlacementClass, Size
@@ -42,7 +43,8 @@
 
     ``max_grants`` bounds one call of ``next_grants``, ``max_candidates`` the agents that a key's
     record names, ``max_classes`` the placement classes whose agents are kept at hand. A job of at
-    least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog.
+    least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog. With more waiting
+    work than the slots can do in ``pressed_ms``, bulk jobs use every slot.
     """
 
     admission: AdmissionLimits = field(default_factory=AdmissionLimits)
@@ -51,6 +53,7 @@
     max_grants: int = 512
     max_candidates: int = 256
     max_classes: int = 1_024
+    pressed_ms: float = 5_000
     bulk_tasks: int = 32
     ageing: float = 0.1
 
@@ -101,6 +104,7 @@
         self._homes = 1
         self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
+        self._is_pressed = False
         self._started_ms = clock.now_ms()
         self._assessed_ms = self._started_ms
 
@@ -275,7 +279,6 @@
         policy = self._policy
         if policy.sample and len(eligible) > policy.sample:
             eligible = self._rng.sample(eligible, policy.sample)
-        bulk = placement.size is Size.BULK
         if self._outliers.ejections:
             healthy = []
             for state in eligible:
@@ -286,7 +289,13 @@
                     return [Option(state, True, 0.0)]
             eligible = healthy
         binding, homes, resources = policy.binding, self._homes, placement.resources
-        is_open = [s.is_open(binding, homes, bulk) and s.has_room_for(resources) for s in eligible]
+        reserve = 0.0
+        if placement.size is Size.BULK and not self._is_pressed:
+            reserve = binding.bulk_reserve
+        is_open = [
+            state.is_open(binding, homes, reserve) and state.has_room_for(resources)
+            for state in eligible
+        ]
         if not any(is_open):
             return []
         expect, failure_rate = self._estimator.expect_ms, self._outliers.failure_rate
@@ -362,6 +371,11 @@
         upstreams = {state.view.upstream for state in self._agents.values()}
         factors = {name: self._estimator.factor(name, now_ms) for name in upstreams}
         self._outliers.tick(factors, now_ms)
+        middle = median(factor for factor, _ in factors.values()) if factors else 0.0
+        for state in self._agents.values():
+            state.is_fast = factors[state.view.upstream][0] < middle
+        rate = self._slots() / self._homes
+        self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
     def _end(self, key: ScopedKey, task: TaskIndex) -> _Running | None:
         run = self._running.pop((key, task), None)
@@ -372,12 +386,14 @@
                 state.end(run.ready.resources)
         return run
 
+    def _slots(self) -> int:
+        return sum(state.view.slots for state in self._agents.values() if state.view.in_service)
+
     def _demand(self, submission: Submission) -> Demand:
         run_ms = self._estimator.expect_service_ms(submission.service)
         count = len(submission.tasks)
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
-        slots = sum(state.view.slots for state in self._agents.values() if state.view.in_service)
-        rate = max(1.0, len(self._running), slots / self._homes)
+        rate = max(1.0, len(self._running), self._slots() / self._homes)
         if self._backlog.size_of(count) is Size.BULK:
             rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
--- a/snipewell/placement.py
+++ b/snipewell/placement.py
@@ -22,7 +22,8 @@
     believes free: 0 is late binding, more is early binding. ``share_queue`` is the same for an
     entry whose own work is below its equal share of the slots: without it, an entry that learns of
     a free slot later than the entry whose task just ended there would never get one.
-    ``bulk_reserve`` is the share of an agent's slots that bulk jobs leave to shorter work.
+    ``bulk_reserve`` is the share of the slots of the faster half of the upstreams that bulk jobs
+    leave to shorter work.
     """
 
     queue: int = 0
@@ -44,6 +45,7 @@
     others: int = 0
     reported_at_ms: float = 0.0
     last_grant: int = 0
+    is_fast: bool = False
     used_cores: float = 0.0
     used_memory_mb: int = 0
     used_accelerators: int = 0
@@ -76,11 +78,14 @@
         self.own -= 1
         self._use(resources, -1)
 
-    def is_open(self, binding: Binding, homes: int, bulk: bool) -> bool:
-        """Return whether this entry, one of ``homes``, may grant another task now."""
+    def is_open(self, binding: Binding, homes: int, reserve: float = 0.0) -> bool:
+        """Return whether this entry, one of ``homes``, may grant another task now.
+
+        ``reserve`` is the share of the slots to leave free if the upstream is a fast one.
+        """
         slots = self.view.slots
-        if bulk:
-            slots -= int(slots * binding.bulk_reserve)
+        if self.is_fast:
+            slots -= int(slots * reserve)
         load = self.own + self.others
         if load < slots + binding.queue:
             return True
