Keep expected finish as the only product policy, with reserves as its defaults

Change: they move to the bench as scores; under pressure bulk jobs still leave one slot of the faster upstreams; probes of a slow upstream must also be fast enough.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
 from bench.simulation import WorldConfig
-from snipewell.dispatch import DispatchLimits
-from snipewell.placement import Binding, ExpectedFinish, LeastInFlight, Option, Policy, Scored
+from snipewell.placement import Binding, ExpectedFinish, Option, Policy, Scored
 
-EARLY = Binding(queue=2)
-LATE = Binding(share_queue=1)
+EARLY = Binding(queue=2, share_queue=0, bulk_reserve=0.0, pressed_reserve=0.0)
+PLAIN = Binding(bulk_reserve=0.0, pressed_reserve=0.0)
+LATE = Binding()
 PRODUCT = "expected finish, late"
 
 
@@ -25,14 +24,19 @@
     return Scored("round robin", lambda option: option.state.last_grant, binding)
 
 
-def expected_time(option: Option) -> float:
-    """Return the learned time alone, without queue, distance or failures."""
-    return option.expected_ms
+def slots_in_use(option: Option) -> float:
+    """Return the share of the slots that are taken, as far as the entry knows."""
+    return option.state.load() / option.state.view.slots
 
 
-def product_policy() -> Policy:
-    """Return the default policy of the product."""
-    return ExpectedFinish(Binding(share_queue=1, bulk_reserve=0.38))
+def least_in_flight(binding: Binding) -> Scored:
+    """Return the policy that takes the agent with the fewest tasks for its slots."""
+    return Scored("least in flight", slots_in_use, binding)
+
+
+def two_choices(binding: Binding) -> Scored:
+    """Return the policy that takes the less loaded of two random agents."""
+    return Scored("two choices", slots_in_use, binding, sample=2)
 
 
 def world_configs() -> dict[str, WorldConfig]:
@@ -45,20 +49,16 @@
         "random, early": random_policy(EARLY),
         "random, late": random_policy(LATE),
         "round robin, late": round_robin(LATE),
-        "two choices, early": LeastInFlight(EARLY, sample=2),
-        "two choices, late": LeastInFlight(LATE, sample=2),
-        "least in flight, early": LeastInFlight(EARLY),
-        "least in flight, late": LeastInFlight(LATE),
+        "two choices, early": two_choices(EARLY),
+        "two choices, late": two_choices(LATE),
+        "least in flight, early": least_in_flight(EARLY),
+        "least in flight, late": least_in_flight(LATE),
         "expected finish, early": ExpectedFinish(EARLY),
-        PRODUCT: product_policy(),
+        "expected finish, no reserve": ExpectedFinish(PLAIN),
+        PRODUCT: ExpectedFinish(),
     }
     configs = {name: WorldConfig(policy) for name, policy in policies.items()}
     configs["one entry, current views"] = WorldConfig(
-        product_policy(), entries=1, current_views=True
+        ExpectedFinish(), entries=1, current_views=True
     )
     return configs
-
-
-def with_limits(config: WorldConfig, **changes: object) -> WorldConfig:
-    """Return ``config`` with other dispatch limits."""
-    return replace(config, limits=replace(DispatchLimits(), **changes))  # type: ignore[arg-type]
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -39,12 +39,12 @@
 def print_table(rows: Sequence[Figures]) -> None:
     """Print one line for each policy and load."""
     print(
-        f"{'policy':<26}{'load':>5}{'p50':>7}{'p99':>8}{'1 p50':>7}{'1 p99':>8}{'n p50':>7}"
+        f"{'policy':<28}{'load':>5}{'p50':>7}{'p99':>8}{'1 p50':>7}{'1 p99':>8}{'n p50':>7}"
         f"{'n p99':>8}{'waste':>7}{'goodput':>8}{'done':>6}{'notrun':>7}{'late':>5}{'us/task':>8}"
     )
     for row in rows:
         print(
-            f"{row.policy:<26}{row.load:>5.1f}{row.p50:>7.2f}{row.p99:>8.2f}"
+            f"{row.policy:<28}{row.load:>5.1f}{row.p50:>7.2f}{row.p99:>8.2f}"
             f"{row.single_p50:>7.2f}{row.single_p99:>8.2f}{row.job_p50:>7.2f}{row.job_p99:>8.2f}"
             f"{row.wasted:>7.3f}{row.goodput:>8.3f}{row.completed:>6.3f}{row.not_run:>7}{row.late:>5}"
             f"{row.decision_us:>8.0f}"
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -44,7 +44,7 @@
     ``max_grants`` bounds one call of ``next_grants``, ``max_candidates`` the agents that a key's
     record names, ``max_classes`` the placement classes whose agents are kept at hand. A job of at
     least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog. With more waiting
-    work than the slots can do in ``pressed_ms``, bulk jobs use every slot.
+    work than the slots can do in ``pressed_ms``, bulk jobs leave fewer slots free.
     """
 
     admission: AdmissionLimits = field(default_factory=AdmissionLimits)
@@ -194,7 +194,8 @@
         service, upstream = run.ready.service, holder.view.upstream
         if state is TaskState.OK:
             self._estimator.learn(service, upstream, elapsed_ms, now)
-        self._outliers.on_end(upstream, service, key, state is TaskState.OK, now)
+        slowness = elapsed_ms / self._estimator.expect_service_ms(service)
+        self._outliers.on_end(upstream, service, key, state is TaskState.OK, now, slowness)
 
     def on_refused(
         self, agent: AgentId, key: ScopedKey, task: TaskIndex, reason: RefusalReason, load: Load
@@ -225,7 +226,7 @@
             if batch is None:
                 break
             options = self._options(batch.placement, now)
-            option = choose(self._policy, options, self._rng, self._backlog.waiting)
+            option = choose(self._policy, options, self._rng)
             if option is None:
                 blocked.add(batch.placement)
             else:
@@ -271,10 +272,7 @@
         return self._outliers.ejected()
 
     def _options(self, placement: PlacementClass, now_ms: float) -> list[Option]:
-        """Return the agents that may run tasks of ``placement``, or only one due for a probe.
-
-        Nothing is returned when none of them can take a task now.
-        """
+        """Return the agents that may get a task of ``placement`` now, or one due for a probe."""
         eligible = self._find_eligible(placement)
         policy = self._policy
         if policy.sample and len(eligible) > policy.sample:
@@ -286,29 +284,21 @@
                 if health is Health.ACTIVE:
                     healthy.append(state)
                 elif health is Health.PROBING and self._is_probe_due(state, placement, now_ms):
-                    return [Option(state, True, 0.0)]
+                    return [Option(state, 0.0)]
             eligible = healthy
         binding, homes, resources = policy.binding, self._homes, placement.resources
         reserve = 0.0
-        if placement.size is Size.BULK and not self._is_pressed:
-            reserve = binding.bulk_reserve
-        is_open = [
-            state.is_open(binding, homes, reserve) and state.has_room_for(resources)
-            for state in eligible
-        ]
-        if not any(is_open):
-            return []
+        if placement.size is Size.BULK:
+            reserve = binding.pressed_reserve if self._is_pressed else binding.bulk_reserve
         expect, failure_rate = self._estimator.expect_ms, self._outliers.failure_rate
-        service, wants_all = placement.service, policy.wants_busy
         return [
             Option(
                 state,
-                free,
-                expect(service, state.view.upstream, now_ms),
+                expect(placement.service, state.view.upstream, now_ms),
                 failure_rate(state.view.upstream),
             )
-            for state, free in zip(eligible, is_open, strict=True)
-            if free or wants_all
+            for state in eligible
+            if state.is_open(binding, homes, reserve) and state.has_room_for(resources)
         ]
 
     def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
--- a/snipewell/outlier.py
+++ b/snipewell/outlier.py
@@ -33,7 +33,8 @@
     Three failures beyond the expected number eject at a failure rate of at least
     ``min_failure_rate``. ``slow_factor`` is against the median upstream. The first ejection lasts
     ``eject_ms`` and each further one twice as long, up to ``max_eject_ms``. ``probes`` good tasks
-    in a row end the probing.
+    in a row that were not slow on average end the probing; after ``healthy_ms`` without ejection
+    the next one lasts ``eject_ms`` again.
     """
 
     eject_share: float = 0.3
@@ -46,6 +47,7 @@
     max_eject_ms: float = 300_000
     probes: int = 3
     probe_gap_ms: float = 250
+    healthy_ms: float = 60_000
     remembered_keys: int = 32
 
 
@@ -68,6 +70,8 @@
     until_ms: float = 0.0
     ejections: int = 0
     good_probes: int = 0
+    slowness: float = 0.0
+    reinstated_ms: float = 0.0
     probed_ms: float = float("-inf")
     reason: str = ""
 
@@ -130,9 +134,18 @@
         self._records[upstream].probed_ms = now_ms
 
     def on_end(
-        self, upstream: UpstreamId, service: ServiceName, key: ScopedKey, ok: bool, now_ms: float
+        self,
+        upstream: UpstreamId,
+        service: ServiceName,
+        key: ScopedKey,
+        ok: bool,
+        now_ms: float,
+        slowness: float = 1.0,
     ) -> None:
-        """Take in that a task of ``key`` ended on ``upstream``."""
+        """Take in that a task of ``key`` ended on ``upstream``.
+
+        ``slowness`` is its time over the time expected on an ordinary upstream.
+        """
         record = self._records.get(upstream)
         if record is None:
             return
@@ -143,7 +156,7 @@
             if len(record.failed_keys) > self._limits.remembered_keys:
                 record.failed_keys.popitem(last=False)
         if record.health is Health.PROBING:
-            self._on_probe_end(record, ok, now_ms)
+            self._on_probe_end(record, ok, slowness, now_ms)
             return
         window = self._limits.window
         record.counts.setdefault(service, _Count()).add(not ok, window)
@@ -162,6 +175,7 @@
             if record.health is Health.EJECTED and now_ms >= record.until_ms:
                 record.health = Health.PROBING
                 record.good_probes = 0
+                record.slowness = 0.0
         known = [factor for factor, samples in factors.values() if samples >= 1]
         if len(known) < 3:
             return
@@ -195,27 +209,35 @@
             expected += own.total * failed_elsewhere / (elsewhere + 3.0)
         return total, failed, expected
 
-    def _on_probe_end(self, record: _Record, ok: bool, now_ms: float) -> None:
+    def _on_probe_end(self, record: _Record, ok: bool, slowness: float, now_ms: float) -> None:
         if not ok:
             self._eject(record, "a probe failed", now_ms)
             return
         record.good_probes += 1
-        if record.good_probes >= self._limits.probes:
-            record.health = Health.ACTIVE
-            record.counts.clear()
-            record.failed_keys.clear()
+        record.slowness += slowness / self._limits.probes
+        if record.good_probes < self._limits.probes:
+            return
+        if record.slowness >= self._limits.slow_factor:
+            self._eject(record, f"probes took {record.slowness:.1f} times as long", now_ms)
+            return
+        record.health = Health.ACTIVE
+        record.reinstated_ms = now_ms
+        record.counts.clear()
+        record.failed_keys.clear()
 
     def _eject(self, record: _Record, reason: str, now_ms: float) -> None:
+        limits = self._limits
         others = sum(
             r.health is not Health.ACTIVE for r in self._records.values() if r is not record
         )
         if others + 1 > int(self._eject_share * len(self._records) + 1e-9):
             return
+        if record.health is Health.ACTIVE and now_ms - record.reinstated_ms > limits.healthy_ms:
+            record.ejections = 0
         self.ejections += 1
         record.ejections += 1
         record.health = Health.EJECTED
         record.reason = reason
-        lasts_ms = min(
-            self._limits.max_eject_ms, self._limits.eject_ms * 2.0 ** (record.ejections - 1)
-        )
+        doublings = min(record.ejections - 1, 30)
+        lasts_ms = min(limits.max_eject_ms, limits.eject_ms * 2.0**doublings)
         record.until_ms = now_ms + lasts_ms * self._rng.uniform(0.9, 1.1)
--- a/snipewell/placement.py
+++ b/snipewell/placement.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
-from typing import ClassVar
 
 from .message import Load, Resources
 from .view import AgentView
@@ -23,12 +22,13 @@
     entry whose own work is below its equal share of the slots: without it, an entry that learns of
     a free slot later than the entry whose task just ended there would never get one.
     ``bulk_reserve`` is the share of the slots of the faster half of the upstreams that bulk jobs
-    leave to shorter work.
+    leave to shorter work, ``pressed_reserve`` the same while much work waits.
     """
 
     queue: int = 0
-    share_queue: int = 0
-    bulk_reserve: float = 0.0
+    share_queue: int = 1
+    bulk_reserve: float = 0.38
+    pressed_reserve: float = 0.13
 
 
 @dataclass(slots=True)
@@ -111,10 +111,9 @@
 
 @dataclass(slots=True)
 class Option:
-    """An agent that may run the task, now if ``is_open``. Times are in milliseconds."""
+    """An agent that may get the task now. Times are in milliseconds."""
 
     state: AgentState
-    is_open: bool
     expected_ms: float
     failure_rate: float = 0.0
 
@@ -132,33 +131,16 @@
         return time_ms
 
 
-@dataclass(frozen=True, slots=True)
-class LeastInFlight:
-    """The agent with the fewest tasks for its slots, among ``sample`` random ones (0: all)."""
-
-    binding: Binding = field(default_factory=Binding)
-    sample: int = 0
-    wants_busy: ClassVar[bool] = False
-
-
 @dataclass(frozen=True, slots=True)
 class ExpectedFinish:
     """The agent whose result is expected first, among ``sample`` random ones (0: all).
 
-    Costs within ``tolerance`` of each other are equal and chosen from at random. With ``patience``
-    above 0, a task waits instead if a faster agent is expected to free a slot soon enough that the
-    task would end sooner there by that factor.
+    Costs within ``tolerance`` of each other are equal and chosen from at random.
     """
 
     binding: Binding = field(default_factory=Binding)
     sample: int = 16
     tolerance: float = 0.05
-    patience: float = 0.0
-
-    @property
-    def wants_busy(self) -> bool:
-        """Return whether ``choose`` also needs the agents that cannot take a task now."""
-        return self.patience > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,52 +151,28 @@
     score: Callable[[Option], float]
     binding: Binding = field(default_factory=Binding)
     sample: int = 0
-    wants_busy: ClassVar[bool] = False
 
 
-Policy = LeastInFlight | ExpectedFinish | Scored
+Policy = ExpectedFinish | Scored
 
 
-def choose(policy: Policy, options: Sequence[Option], rng: Random, waiting: int) -> Option | None:
-    """Return the open option that ``policy`` prefers, or None to let the task wait.
+def choose(policy: Policy, options: Sequence[Option], rng: Random) -> Option | None:
+    """Return the option that ``policy`` prefers, or None to let the task wait.
 
-    ``waiting`` is the number of tasks that compete for the next free slots. Ties are broken at
-    random, so that several entries with the same view do not all choose the same agent.
+    Ties are broken at random, so that several entries with the same view do not all choose the
+    same agent.
     """
-    open_options = [option for option in options if option.is_open]
-    if not open_options:
+    if not options:
         return None
     match policy:
-        case LeastInFlight():
-            return _lowest(open_options, lambda o: o.state.load() / o.state.view.slots, rng)
         case Scored(score=score):
-            return _lowest(open_options, score, rng)
-        case ExpectedFinish(tolerance=tolerance, patience=patience):
+            return _lowest(options, score, rng)
+        case ExpectedFinish(tolerance=tolerance):
             scale = 2 * tolerance
-            best = _lowest(open_options, lambda o: o.finish_ms() * (1 + scale * rng.random()), rng)
-            if patience and _should_wait(best.finish_ms(), options, patience, waiting):
-                return None
-            return best
+            return _lowest(options, lambda o: o.finish_ms() * (1 + scale * rng.random()), rng)
 
 
 def _lowest(options: Sequence[Option], score: Callable[[Option], float], rng: Random) -> Option:
     if len(options) == 1:
         return options[0]
     return min(options, key=lambda option: (score(option), rng.random()))
-
-
-def _should_wait(
-    finish_ms: float, options: Sequence[Option], patience: float, waiting: int
-) -> bool:
-    """Return whether a busy faster agent is expected to give a result before ``finish_ms``."""
-    slots_per_ms = 0.0
-    weighted = 0.0
-    for option in options:
-        if option.is_open or option.failure_rate > 0.1 or option.expected_ms >= finish_ms:
-            continue
-        rate = option.state.view.slots / option.expected_ms
-        slots_per_ms += rate
-        weighted += rate * (option.expected_ms + 2 * option.state.distance_ms)
-    if not slots_per_ms:
-        return False
-    return finish_ms > patience * (weighted / slots_per_ms + waiting / slots_per_ms)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,7 +17,7 @@
     ZoneId,
 )
 from snipewell.message import Load, RefusalReason, Resources, TaskState
-from snipewell.placement import LeastInFlight
+from snipewell.placement import ExpectedFinish
 from snipewell.view import AgentView
 
 DYE = ServiceName("dye-test")
@@ -59,7 +59,7 @@
 
 
 def make_dispatcher(clock: ManualClock, *views: AgentView) -> Dispatcher:
-    dispatcher = Dispatcher(clock, Random(7), ZoneId("patan"), LeastInFlight(), DispatchLimits())
+    dispatcher = Dispatcher(clock, Random(7), ZoneId("patan"), ExpectedFinish(), DispatchLimits())
     for view in views:
         dispatcher.on_agent(view)
     return dispatcher
