Eject on failures among the last results, not among one window for each service

Cause: with one window for each service, an upstream that failed everything was never ejected: 9 failures among 55 results stayed under the required rate. Change: all results share one window of 8; the bound is the failures that the same services have elsewhere plus 2.5 plus three times their square root.

--- a/snipewell/outlier.py
+++ b/snipewell/outlier.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -30,17 +31,18 @@
 class OutlierLimits:
     """When an upstream is ejected and how it returns. Times are in milliseconds.
 
-    Three failures beyond the expected number eject at a failure rate of at least
-    ``min_failure_rate``. ``slow_factor`` is against the median upstream. The first ejection lasts
+    Failures count over the last ``window`` results. ``min_excess`` failures more than expected,
+    plus ``deviations`` times the square root of what is expected, eject: three in a row where no
+    others fail. ``slow_factor`` is against the median upstream. The first ejection lasts
     ``eject_ms`` and each further one twice as long, up to ``max_eject_ms``. ``probes`` good tasks
     in a row that were not slow on average end the probing; after ``healthy_ms`` without ejection
-    the next one lasts ``eject_ms`` again.
+    the next one lasts ``eject_ms`` again. At most ``compared`` other upstreams are looked at.
     """
 
     eject_share: float = 0.3
-    window: int = 20
+    window: int = 8
     min_excess: float = 2.5
-    min_failure_rate: float = 0.4
+    deviations: float = 3.0
     slow_factor: float = 4.0
     min_slow_samples: float = 4.0
     eject_ms: float = 5_000
@@ -49,6 +51,7 @@
     probe_gap_ms: float = 250
     healthy_ms: float = 60_000
     remembered_keys: int = 32
+    compared: int = 64
 
 
 @dataclass(slots=True)
@@ -56,10 +59,9 @@
     total: float = 0.0
     failed: float = 0.0
 
-    def add(self, failed: bool, window: int) -> None:
-        keep = 1.0 - 1.0 / window
-        self.total = self.total * keep + 1.0
-        self.failed = self.failed * keep + failed
+    def decay(self, keep: float) -> None:
+        self.total *= keep
+        self.failed *= keep
 
 
 @dataclass(slots=True)
@@ -67,6 +69,7 @@
     health: Health = Health.ACTIVE
     counts: dict[ServiceName, _Count] = field(default_factory=dict)
     failed_keys: OrderedDict[ScopedKey, None] = field(default_factory=OrderedDict)
+    excess: float = 0.0
     until_ms: float = 0.0
     ejections: int = 0
     good_probes: int = 0
@@ -84,7 +87,6 @@
         self._limits = limits or OutlierLimits()
         self._eject_share = self._limits.eject_share
         self._records: dict[UpstreamId, _Record] = {}
-        self._services: dict[ServiceName, _Count] = {}
         self.ejections = 0
 
     def set_eject_share(self, share: float) -> None:
@@ -119,10 +121,7 @@
         An upstream that may not be ejected because too many are is still avoided by this.
         """
         record = self._records.get(upstream)
-        if record is None or not record.failed_keys:
-            return 0.0
-        total, failed, expected = self._sums(record)
-        return max(0.0, failed - expected) / (total + 3.0)
+        return min(1.0, record.excess / self._limits.window) if record else 0.0
 
     def may_probe(self, upstream: UpstreamId, running: int, now_ms: float) -> bool:
         """Return whether a probing upstream with ``running`` tasks may get one now."""
@@ -158,12 +157,14 @@
         if record.health is Health.PROBING:
             self._on_probe_end(record, ok, slowness, now_ms)
             return
-        window = self._limits.window
-        record.counts.setdefault(service, _Count()).add(not ok, window)
-        self._services.setdefault(service, _Count()).add(
-            not ok, window * max(1, len(self._records))
-        )
-        if not ok and record.health is Health.ACTIVE:
+        keep = 1.0 - 1.0 / self._limits.window
+        for count in record.counts.values():
+            count.decay(keep)
+        record.excess *= keep
+        own = record.counts.setdefault(service, _Count())
+        own.total += 1.0
+        if not ok:
+            own.failed += 1.0
             self._assess_failures(record, now_ms)
 
     def tick(self, factors: Mapping[UpstreamId, tuple[float, float]], now_ms: float) -> None:
@@ -189,25 +190,20 @@
                 self._eject(slow, f"{factor / middle:.1f} times as slow as the median", now_ms)
 
     def _assess_failures(self, record: _Record, now_ms: float) -> None:
-        total, failed, expected = self._sums(record)
-        limits = self._limits
-        rate = failed / total
-        if failed - expected >= limits.min_excess and rate >= max(
-            limits.min_failure_rate, 2 * expected / total
-        ):
-            self._eject(record, f"{failed:.0f} of {total:.0f} tasks failed", now_ms)
-
-    def _sums(self, record: _Record) -> tuple[float, float, float]:
-        """Return tasks, failures, and failures expected from the same services elsewhere."""
-        total = failed = expected = 0.0
+        failed = expected = 0.0
+        others = [other for other in self._records.values() if other is not record]
+        if len(others) > self._limits.compared:
+            others = self._rng.sample(others, self._limits.compared)
         for service, own in record.counts.items():
-            everywhere = self._services[service]
-            elsewhere = max(0.0, everywhere.total - own.total)
-            failed_elsewhere = max(0.0, everywhere.failed - own.failed)
-            total += own.total
+            elsewhere = [other.counts[service] for other in others if service in other.counts]
+            total = sum(count.total for count in elsewhere)
             failed += own.failed
-            expected += own.total * failed_elsewhere / (elsewhere + 3.0)
-        return total, failed, expected
+            expected += own.total * sum(count.failed for count in elsewhere) / (total + 3.0)
+        record.excess = max(0.0, failed - expected)
+        bound = self._limits.min_excess + self._limits.deviations * math.sqrt(expected)
+        if record.health is Health.ACTIVE and record.excess >= bound:
+            total = sum(own.total for own in record.counts.values())
+            self._eject(record, f"{failed:.1f} of the last {total:.1f} failed", now_ms)
 
     def _on_probe_end(self, record: _Record, ok: bool, slowness: float, now_ms: float) -> None:
         if not ok:
@@ -223,6 +219,7 @@
         record.health = Health.ACTIVE
         record.reinstated_ms = now_ms
         record.counts.clear()
+        record.excess = 0.0
         record.failed_keys.clear()
 
     def _eject(self, record: _Record, reason: str, now_ms: float) -> None:
