--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 
 from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
 from .backlog import Backlog, Batch, PlacementClass, Size
@@ -42,7 +43,8 @@
 
     ``max_grants`` bounds one call of ``next_grants``, ``max_candidates`` the agents that a key's
     record names, ``max_classes`` the placement classes whose agents are kept at hand. A job of at
-    least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog.
+    least ``bulk_tasks`` tasks is a bulk job; ``ageing`` is that of the backlog. With more waiting
+    work than the slots can do in ``pressed_ms``, bulk jobs leave fewer slots free.
     """
 
     admission: AdmissionLimits = field(default_factory=AdmissionLimits)
@@ -51,6 +53,7 @@
     max_grants: int = 512
     max_candidates: int = 256
     max_classes: int = 1_024
+    pressed_ms: float = 5_000
     bulk_tasks: int = 32
     ageing: float = 0.1
 
@@ -101,6 +104,7 @@
         self._homes = 1
         self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
+        self._is_pressed = False
         self._started_ms = clock.now_ms()
         self._assessed_ms = self._started_ms
 
@@ -190,7 +194,8 @@
         service, upstream = run.ready.service, holder.view.upstream
         if state is TaskState.OK:
             self._estimator.learn(service, upstream, elapsed_ms, now)
-        self._outliers.on_end(upstream, service, key, state is TaskState.OK, now)
+        slowness = elapsed_ms / self._estimator.expect_service_ms(service)
+        self._outliers.on_end(upstream, service, key, state is TaskState.OK, now, slowness)
 
     def on_refused(
         self, agent: AgentId, key: ScopedKey, task: TaskIndex, reason: RefusalReason, load: Load
@@ -221,7 +226,7 @@
             if batch is None:
                 break
             options = self._options(batch.placement, now)
-            option = choose(self._policy, options, self._rng, self._backlog.waiting)
+            option = choose(self._policy, options, self._rng)
             if option is None:
                 blocked.add(batch.placement)
             else:
@@ -267,15 +272,11 @@
         return self._outliers.ejected()
 
     def _options(self, placement: PlacementClass, now_ms: float) -> list[Option]:
-        """Return the agents that may run tasks of ``placement``, or only one due for a probe.
-
-        Nothing is returned when none of them can take a task now.
-        """
+        """Return the agents that may get a task of ``placement`` now, or one due for a probe."""
         eligible = self._find_eligible(placement)
         policy = self._policy
         if policy.sample and len(eligible) > policy.sample:
             eligible = self._rng.sample(eligible, policy.sample)
-        bulk = placement.size is Size.BULK
         if self._outliers.ejections:
             healthy = []
             for state in eligible:
@@ -283,23 +284,21 @@
                 if health is Health.ACTIVE:
                     healthy.append(state)
                 elif health is Health.PROBING and self._is_probe_due(state, placement, now_ms):
-                    return [Option(state, True, 0.0)]
+                    return [Option(state, 0.0)]
             eligible = healthy
         binding, homes, resources = policy.binding, self._homes, placement.resources
-        is_open = [s.is_open(binding, homes, bulk) and s.has_room_for(resources) for s in eligible]
-        if not any(is_open):
-            return []
+        reserve = 0.0
+        if placement.size is Size.BULK:
+            reserve = binding.pressed_reserve if self._is_pressed else binding.bulk_reserve
         expect, failure_rate = self._estimator.expect_ms, self._outliers.failure_rate
-        service, wants_all = placement.service, policy.wants_busy
         return [
             Option(
                 state,
-                free,
-                expect(service, state.view.upstream, now_ms),
+                expect(placement.service, state.view.upstream, now_ms),
                 failure_rate(state.view.upstream),
             )
-            for state, free in zip(eligible, is_open, strict=True)
-            if free or wants_all
+            for state in eligible
+            if state.is_open(binding, homes, reserve) and state.has_room_for(resources)
         ]
 
     def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
@@ -362,6 +361,11 @@
         upstreams = {state.view.upstream for state in self._agents.values()}
         factors = {name: self._estimator.factor(name, now_ms) for name in upstreams}
         self._outliers.tick(factors, now_ms)
+        middle = median(factor for factor, _ in factors.values()) if factors else 0.0
+        for state in self._agents.values():
+            state.is_fast = factors[state.view.upstream][0] < middle
+        rate = self._slots() / self._homes
+        self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
     def _end(self, key: ScopedKey, task: TaskIndex) -> _Running | None:
         run = self._running.pop((key, task), None)
@@ -372,12 +376,14 @@
                 state.end(run.ready.resources)
         return run
 
+    def _slots(self) -> int:
+        return sum(state.view.slots for state in self._agents.values() if state.view.in_service)
+
     def _demand(self, submission: Submission) -> Demand:
         run_ms = self._estimator.expect_service_ms(submission.service)
         count = len(submission.tasks)
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
-        slots = sum(state.view.slots for state in self._agents.values() if state.view.in_service)
-        rate = max(1.0, len(self._running), slots / self._homes)
+        rate = max(1.0, len(self._running), self._slots() / self._homes)
         if self._backlog.size_of(count) is Size.BULK:
             rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
--- a/snipewell/outlier.py
+++ b/snipewell/outlier.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -30,23 +31,27 @@
 class OutlierLimits:
     """When an upstream is ejected and how it returns. Times are in milliseconds.
 
-    Three failures beyond the expected number eject at a failure rate of at least
-    ``min_failure_rate``. ``slow_factor`` is against the median upstream. The first ejection lasts
+    Failures count over the last ``window`` results. ``min_excess`` failures more than expected,
+    plus ``deviations`` times the square root of what is expected, eject: three in a row where no
+    others fail. ``slow_factor`` is against the median upstream. The first ejection lasts
     ``eject_ms`` and each further one twice as long, up to ``max_eject_ms``. ``probes`` good tasks
-    in a row end the probing.
+    in a row that were not slow on average end the probing; after ``healthy_ms`` without ejection
+    the next one lasts ``eject_ms`` again. At most ``compared`` other upstreams are looked at.
     """
 
     eject_share: float = 0.3
-    window: int = 20
+    window: int = 8
     min_excess: float = 2.5
-    min_failure_rate: float = 0.4
+    deviations: float = 3.0
     slow_factor: float = 4.0
     min_slow_samples: float = 4.0
     eject_ms: float = 5_000
     max_eject_ms: float = 300_000
     probes: int = 3
     probe_gap_ms: float = 250
+    healthy_ms: float = 60_000
     remembered_keys: int = 32
+    compared: int = 64
 
 
 @dataclass(slots=True)
@@ -54,10 +59,9 @@
     total: float = 0.0
     failed: float = 0.0
 
-    def add(self, failed: bool, window: int) -> None:
-        keep = 1.0 - 1.0 / window
-        self.total = self.total * keep + 1.0
-        self.failed = self.failed * keep + failed
+    def decay(self, keep: float) -> None:
+        self.total *= keep
+        self.failed *= keep
 
 
 @dataclass(slots=True)
@@ -65,9 +69,12 @@
     health: Health = Health.ACTIVE
     counts: dict[ServiceName, _Count] = field(default_factory=dict)
     failed_keys: OrderedDict[ScopedKey, None] = field(default_factory=OrderedDict)
+    excess: float = 0.0
     until_ms: float = 0.0
     ejections: int = 0
     good_probes: int = 0
+    slowness: float = 0.0
+    reinstated_ms: float = 0.0
     probed_ms: float = float("-inf")
     reason: str = ""
 
@@ -80,7 +87,6 @@
         self._limits = limits or OutlierLimits()
         self._eject_share = self._limits.eject_share
         self._records: dict[UpstreamId, _Record] = {}
-        self._services: dict[ServiceName, _Count] = {}
         self.ejections = 0
 
     def set_eject_share(self, share: float) -> None:
@@ -115,10 +121,7 @@
         An upstream that may not be ejected because too many are is still avoided by this.
         """
         record = self._records.get(upstream)
-        if record is None or not record.failed_keys:
-            return 0.0
-        total, failed, expected = self._sums(record)
-        return max(0.0, failed - expected) / (total + 3.0)
+        return min(1.0, record.excess / self._limits.window) if record else 0.0
 
     def may_probe(self, upstream: UpstreamId, running: int, now_ms: float) -> bool:
         """Return whether a probing upstream with ``running`` tasks may get one now."""
@@ -130,9 +133,18 @@
         self._records[upstream].probed_ms = now_ms
 
     def on_end(
-        self, upstream: UpstreamId, service: ServiceName, key: ScopedKey, ok: bool, now_ms: float
+        self,
+        upstream: UpstreamId,
+        service: ServiceName,
+        key: ScopedKey,
+        ok: bool,
+        now_ms: float,
+        slowness: float = 1.0,
     ) -> None:
-        """Take in that a task of ``key`` ended on ``upstream``."""
+        """Take in that a task of ``key`` ended on ``upstream``.
+
+        ``slowness`` is its time over the time expected on an ordinary upstream.
+        """
         record = self._records.get(upstream)
         if record is None:
             return
@@ -143,14 +155,16 @@
             if len(record.failed_keys) > self._limits.remembered_keys:
                 record.failed_keys.popitem(last=False)
         if record.health is Health.PROBING:
-            self._on_probe_end(record, ok, now_ms)
+            self._on_probe_end(record, ok, slowness, now_ms)
             return
-        window = self._limits.window
-        record.counts.setdefault(service, _Count()).add(not ok, window)
-        self._services.setdefault(service, _Count()).add(
-            not ok, window * max(1, len(self._records))
-        )
-        if not ok and record.health is Health.ACTIVE:
+        keep = 1.0 - 1.0 / self._limits.window
+        for count in record.counts.values():
+            count.decay(keep)
+        record.excess *= keep
+        own = record.counts.setdefault(service, _Count())
+        own.total += 1.0
+        if not ok:
+            own.failed += 1.0
             self._assess_failures(record, now_ms)
 
     def tick(self, factors: Mapping[UpstreamId, tuple[float, float]], now_ms: float) -> None:
@@ -162,6 +176,7 @@
             if record.health is Health.EJECTED and now_ms >= record.until_ms:
                 record.health = Health.PROBING
                 record.good_probes = 0
+                record.slowness = 0.0
         known = [factor for factor, samples in factors.values() if samples >= 1]
         if len(known) < 3:
             return
@@ -175,47 +190,51 @@
                 self._eject(slow, f"{factor / middle:.1f} times as slow as the median", now_ms)
 
     def _assess_failures(self, record: _Record, now_ms: float) -> None:
-        total, failed, expected = self._sums(record)
-        limits = self._limits
-        rate = failed / total
-        if failed - expected >= limits.min_excess and rate >= max(
-            limits.min_failure_rate, 2 * expected / total
-        ):
-            self._eject(record, f"{failed:.0f} of {total:.0f} tasks failed", now_ms)
-
-    def _sums(self, record: _Record) -> tuple[float, float, float]:
-        """Return tasks, failures, and failures expected from the same services elsewhere."""
-        total = failed = expected = 0.0
+        failed = expected = 0.0
+        others = [other for other in self._records.values() if other is not record]
+        if len(others) > self._limits.compared:
+            others = self._rng.sample(others, self._limits.compared)
         for service, own in record.counts.items():
-            everywhere = self._services[service]
-            elsewhere = max(0.0, everywhere.total - own.total)
-            failed_elsewhere = max(0.0, everywhere.failed - own.failed)
-            total += own.total
+            elsewhere = [other.counts[service] for other in others if service in other.counts]
+            total = sum(count.total for count in elsewhere)
             failed += own.failed
-            expected += own.total * failed_elsewhere / (elsewhere + 3.0)
-        return total, failed, expected
-
-    def _on_probe_end(self, record: _Record, ok: bool, now_ms: float) -> None:
+            expected += own.total * sum(count.failed for count in elsewhere) / (total + 3.0)
+        record.excess = max(0.0, failed - expected)
+        bound = self._limits.min_excess + self._limits.deviations * math.sqrt(expected)
+        if record.health is Health.ACTIVE and record.excess >= bound:
+            total = sum(own.total for own in record.counts.values())
+            self._eject(record, f"{failed:.1f} of the last {total:.1f} failed", now_ms)
+
+    def _on_probe_end(self, record: _Record, ok: bool, slowness: float, now_ms: float) -> None:
         if not ok:
             self._eject(record, "a probe failed", now_ms)
             return
         record.good_probes += 1
-        if record.good_probes >= self._limits.probes:
-            record.health = Health.ACTIVE
-            record.counts.clear()
-            record.failed_keys.clear()
+        record.slowness += slowness / self._limits.probes
+        if record.good_probes < self._limits.probes:
+            return
+        if record.slowness >= self._limits.slow_factor:
+            self._eject(record, f"probes took {record.slowness:.1f} times as long", now_ms)
+            return
+        record.health = Health.ACTIVE
+        record.reinstated_ms = now_ms
+        record.counts.clear()
+        record.excess = 0.0
+        record.failed_keys.clear()
 
     def _eject(self, record: _Record, reason: str, now_ms: float) -> None:
+        limits = self._limits
         others = sum(
             r.health is not Health.ACTIVE for r in self._records.values() if r is not record
         )
         if others + 1 > int(self._eject_share * len(self._records) + 1e-9):
             return
+        if record.health is Health.ACTIVE and now_ms - record.reinstated_ms > limits.healthy_ms:
+            record.ejections = 0
         self.ejections += 1
         record.ejections += 1
         record.health = Health.EJECTED
         record.reason = reason
-        lasts_ms = min(
-            self._limits.max_eject_ms, self._limits.eject_ms * 2.0 ** (record.ejections - 1)
-        )
+        doublings = min(record.ejections - 1, 30)
+        lasts_ms = min(limits.max_eject_ms, limits.eject_ms * 2.0**doublings)
         record.until_ms = now_ms + lasts_ms * self._rng.uniform(0.9, 1.1)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,7 +13,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -47,6 +47,7 @@
 HOST = "127.0.0.1"
 ZONES = ("patan", "bhaktapur", "kirtipur")
 READY_LIMIT_S = 30.0
+_used: set[int] = set()
 
 
 def now_ms() -> float:
@@ -55,14 +56,30 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports; they are bound together, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return free ports below the range from which the kernel takes ports of connections.
+
+    A port of that range may be taken by a connection before its process binds it again. The first
+    port depends on the process id, so that two test runs at once look in different places.
+    """
+    start = 10_000 + os.getpid() * 97 % 15_000
+    ports: list[int] = []
+    for port in range(start + len(_used), 32_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _used:
+            ports.append(port)
+            _used.add(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports")
+
+
+def expected_reply(key: str, task: int) -> str:
+    """Return the reply that callers put into the payload of a task, unique to it."""
+    return f"{key}/{task}"
 
 
 @dataclass
@@ -146,6 +163,8 @@
     agent_changes: Mapping[str, Any] = field(default_factory=dict)
     events: list[Event] = field(default_factory=list)
     processes: dict[str, Process] = field(default_factory=dict)
+    births: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    unanswered: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         ports = iter(free_ports(2 + 2 * self.entry_count + self.agent_count))
@@ -229,7 +248,9 @@
             process.popen = subprocess.Popen(
                 process.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
-        self.record(ProcessStarted(now_ms(), process.life))
+        if name in self.entries:
+            self.record(ProcessStarted(now_ms(), process.life))
+        self.births.setdefault(name, []).append((now_ms(), process.life))
 
     def kill(self, name: str) -> None:
         """End a process without warning."""
@@ -350,11 +371,14 @@
         payloads: list[Mapping[str, Any]],
         service: str,
         job: bool,
-        entry: str,
+        entry: str | None,
         request: str,
         deadline_ms: int = 8_000,
     ) -> Outcome | None:
-        """Send one attempt through ``entry``, and record it; None if no answer came."""
+        """Send one attempt through ``entry`` or the balancer; None if no answer came.
+
+        An attempt whose connection was refused is recorded without an entry, since none has it.
+        """
         headers = {"Idempotency-Key": key, "Deadline-Ms": str(deadline_ms)}
         if job:
             path = "/v1/jobs"
@@ -363,12 +387,17 @@
             path = f"/v1/services/{service}/requests"
             body = json.dumps(payloads[0]).encode()
         idempotent = service == "check"
-        life = self.processes[entry].life
-        self.record(Invoked(now_ms(), request, key, len(payloads), idempotent, job, life))
+        life = self.processes[entry].life if entry else ""
+        address = self.entries[entry] if entry else self.balancer
+        invoked = Invoked(now_ms(), request, key, len(payloads), idempotent, job, life)
         try:
-            reply = call("POST", self.entries[entry], path, body, headers, deadline_ms / 1000 + 2)
-        except OSError:
+            reply = call("POST", address, path, body, headers, deadline_ms / 1000 + 2)
+        except OSError as error:
+            refused = isinstance(getattr(error, "reason", error), ConnectionRefusedError)
+            self.record(replace(invoked, entry="") if refused else invoked)
+            self.unanswered.append(request)
             return None
+        self.record(invoked)
         outcome = read_outcome(reply, job)
         self.record(Answered(now_ms(), request, outcome))
         return outcome
@@ -377,17 +406,20 @@
         """Return the history with the starts and ends that the upstreams logged."""
         events = list(self.events)
         for name, address in self.upstreams.items():
-            for entry in call("GET", address, "/log").json()["starts"]:
-                key = entry["key"].partition("/")[2]
-                agent = f"a{name[1:]}"
-                zone = self.zone_of[name]
-                events.append(Started(entry["at_ms"], key, entry["task"], agent, zone, name))
-                if entry.get("end_ms") is not None:
-                    state = TaskState(entry.get("state", "ok"))
-                    body = json.dumps(entry.get("reply")).encode()
-                    events.append(Ended(entry["end_ms"], key, entry["task"], agent, state, body))
+            for start in call("GET", address, "/log").json()["starts"]:
+                key, task = start["key"].partition("/")[2], start["task"]
+                agent, zone = self._life_at(f"a{name[1:]}", start["at_ms"]), self.zone_of[name]
+                events.append(Started(start["at_ms"], key, task, agent, zone, name))
+                if start["end_ms"] is not None:
+                    body = json.dumps(start["reply"]).encode()
+                    state = TaskState(start["state"])
+                    events.append(Ended(start["end_ms"], key, task, agent, state, body))
         return sorted(events, key=lambda event: event.at_ms)
 
+    def _life_at(self, name: str, at_ms: float) -> str:
+        """Return the life of a process that ran at ``at_ms``."""
+        return [life for born_ms, life in self.births[name] if born_ms <= at_ms][-1]
+
 
 def _port(address: str) -> int:
     return int(address.rpartition(":")[2])
