--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -6,8 +6,8 @@
 from __future__ import annotations
 
 import signal
-from collections import deque
-from collections.abc import Callable, Iterable
+import traceback
+from collections.abc import Awaitable, Callable, Iterable
 from random import Random
 from typing import Any
 
@@ -29,6 +29,7 @@
     ZoneId,
     new_incarnation,
 )
+from .inbox import Inbox
 from .log import Log
 from .message import (
     AnyMessage,
@@ -55,35 +56,8 @@
 from .web import Request, Response
 
 TICK_S = 0.02
-_BATCH = 256
 _FLUSH_S = 0.1
-
-Event = tuple[Callable[..., Iterable[EntryEffect] | None], tuple[Any, ...]]
-
-
-class Inbox:
-    """Events for the task that owns the core, in order of arrival."""
-
-    def __init__(self) -> None:
-        self._events: deque[Event] = deque()
-        self._wake = curio.Event()
-
-    async def put(self, method: Callable[..., Any], *args: Any) -> None:
-        """Add an event and wake the owner."""
-        self._events.append((method, args))
-        if not self._wake.is_set():
-            await self._wake.set()
-
-    def append(self, method: Callable[..., Any], *args: Any) -> None:
-        """Add an event without waking the owner, which sees it at its next tick."""
-        self._events.append((method, args))
-
-    async def take(self) -> list[Event]:
-        """Wait for events and return a batch of them."""
-        while not self._events:
-            self._wake.clear()
-            await self._wake.wait()
-        return [self._events.popleft() for _ in range(min(len(self._events), _BATCH))]
+_RESTART_S = 0.5
 
 
 class _Waiter:
@@ -122,7 +96,7 @@
         self._waiters: dict[RequestId, _Waiter] = {}
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._tasks = curio.TaskGroup()
-        self._server = HttpServer(self._handle, _limits_of(settings.http), self._on_http_error)
+        self._server = HttpServer(self._handle, _limits_of(settings.http), self._on_fault)
         self._pool = HttpPool(settings.store, 8, step=Step.STORE)
         self.store = Store(self._pool, settings.store, self.clock, settings.store_timeout_ms)
 
@@ -171,7 +145,7 @@
         self._add_gauges()
         await self._router.start()
         for task in (self._own, self._tick, *self._registry.tasks()):
-            await self._tasks.spawn(task)
+            await self._tasks.spawn(self._keep_running, task)
         self.log.info("edge", "entry started", http=self.http_address)
 
     async def drain(self, limit_ms: float | None = None) -> int:
@@ -263,11 +237,34 @@
         while True:
             effects: list[EntryEffect] = []
             for method, args in await self._inbox.take():
-                effects += method(*args) or ()
-            effects += self.core.dispatch()
+                effects += self._decide(method, args)
+            effects += self._decide(self.core.dispatch, ())
             for effect in effects:
                 await self._perform(effect)
 
+    def _decide(self, method: Callable[..., Any], args: tuple[Any, ...]) -> Iterable[EntryEffect]:
+        """Hand one event to the core; a fault in one event must not stop all others."""
+        try:
+            return method(*args) or ()
+        except Exception as error:
+            self._on_fault(method.__name__, error)
+            return ()
+
+    async def _keep_running(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run ``task`` for the life of the entry, anew after a fault."""
+        while True:
+            try:
+                await task()
+                return
+            except Exception as error:
+                self._on_fault(getattr(task, "__name__", "task"), error)
+                await curio.sleep(_RESTART_S)
+
+    def _on_fault(self, what: str, error: BaseException) -> None:
+        self.metrics.count("internal_errors")
+        trace = traceback.format_exception(error)
+        self.log.error("edge", "internal error", where=what, trace="".join(trace)[-2_000:])
+
     async def _tick(self) -> None:
         while True:
             await curio.sleep(TICK_S)
@@ -283,7 +280,7 @@
                     self._inbox.append(self.core.on_agent_unsent, agent, message)
             case SendEntry(entry, message):
                 if entry == self.id:
-                    await self._inbox.put(self.core.on_entry_message, entry, message)
+                    self._inbox.append(self.core.on_entry_message, entry, message)
                 elif not await self._dealers.send(entry, message):
                     self._inbox.append(self.core.on_entry_unsent, entry, message)
             case Reply(request, _, outcome):
@@ -360,10 +357,6 @@
             len(core.membership),
         )
 
-    def _on_http_error(self, what: str, error: BaseException) -> None:
-        self.metrics.count("internal_errors")
-        self.log.error("edge", "a handler failed", request=what, error=repr(error))
-
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
         gauge("waiting_requests", lambda: self.waiting_count)
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -135,3 +135,24 @@
         await cluster.stop(2_000)
 
     curio.run(main)
+
+
+def test_fault_in_one_event_stops_no_other() -> None:
+    """Guards against an entry that answers nobody any more after one internal error."""
+
+    async def main() -> None:
+        cluster = Cluster([entry_settings("e1", "patan")])
+        await cluster.start()
+        await cluster.put("services", "dye-test", {"deadline_ms": 300})
+        entry = cluster.entries["e1"]
+        submit, entry.core.homes.submit = entry.core.homes.submit, None
+        waiting = await curio.spawn(cluster.request, SUBMIT)
+        count = entry.metrics.counter
+        await cluster.wait_until(lambda: count("internal_errors") == 1, "the fault")
+        entry.core.homes.submit = submit
+        later = Request("POST", SUBMIT.path, {}, {"idempotency-key": "later"}, b"1")
+        assert (await cluster.request(later)).headers["snipewell-outcome"] == "not_run"
+        assert (await waiting.join()).headers["snipewell-outcome"] == "unknown"
+        await cluster.stop(2_000)
+
+    curio.run(main)
