Give each connection a ZeroMQ identity of its own

Cause: entries aborted with libzmq's "Assertion failed: !_io_error" about 2 s after a new entry had bound the port of its predecessor, because agents then had two connections under one identity, with ROUTER_HANDOVER and heartbeats. Change: a rising number is part of each connection's identity, and the router sends to the latest one. Conclusion: handover stays off.

--- a/snipewell/transport.py
+++ b/snipewell/transport.py
@@ -28,6 +28,8 @@
 Undelivered = Callable[[str, Message], None]
 """Called with a peer's identity and a message that ZeroMQ did not accept for it."""
 
+_MAX_ROUTES = 65_536
+"""Peers whose latest connection a router remembers; one that speaks again is learnt again."""
 _BATCH = 256
 """Messages sent and received in one turn, after which other tasks run."""
 
@@ -77,12 +79,40 @@
     return (AgentId(agent), Incarnation(incarnation)) if plus else None
 
 
+class _Routes:
+    """The latest connection of each peer of a router.
+
+    Each connection has a ZeroMQ identity of its own, the peer's identity with a number that rises.
+    A peer has two connections while it replaces a silent one. Under one identity they would need
+    ROUTER_HANDOVER and take the identity from each other at every reconnect; with handover and
+    heartbeats together, libzmq 4.3.5 aborts the process ("Assertion failed: !_io_error").
+    """
+
+    def __init__(self) -> None:
+        self._latest: dict[str, int] = {}
+
+    def learn(self, connection: str) -> str:
+        """Return the peer of ``connection`` and use it for the peer unless a later one spoke."""
+        peer, _, number = connection.rpartition("/")
+        if not peer or not number.isascii() or not number.isdigit():
+            raise MessageError(f"a connection without a number: {connection[:80]!r}")
+        if int(number) > self._latest.get(peer, -1):
+            self._latest[peer] = int(number)
+            if len(self._latest) > _MAX_ROUTES:
+                del self._latest[next(iter(self._latest))]
+        return peer
+
+    def find(self, peer: str) -> str:
+        """Return the identity of the peer's latest connection, one nobody has if none spoke."""
+        return f"{peer}/{self._latest.get(peer, '')}"
+
+
 @dataclass(slots=True)
 class _Owner:
     """The state of the one task that owns ``socket``.
 
     ``peer`` is the identity at the other end of a dealer, or empty for a router, whose frames name
-    the peer.
+    the connection.
     """
 
     socket: zmq.Socket[bytes]
@@ -91,6 +121,7 @@
     undelivered: Undelivered | None
     limits: TransportLimits
     counters: TransportCounters
+    routes: _Routes = field(default_factory=_Routes)
     outbox: deque[tuple[str, Message]] = field(default_factory=deque)
     wake: curio.Event = field(default_factory=curio.Event)
     armed: curio.Event = field(default_factory=curio.Event)
@@ -143,7 +174,9 @@
         return True
 
     def _send(self, peer: str, message: Message) -> None:
-        frames = [encode(message)] if self.peer else [peer.encode(), encode(message)]
+        frames = [encode(message)]
+        if not self.peer:
+            frames.insert(0, self.routes.find(peer).encode())
         try:
             self.socket.send_multipart(frames, zmq.DONTWAIT)
         except zmq.ZMQError as error:
@@ -164,7 +197,7 @@
         try:
             if len(frames) != (1 if self.peer else 2):
                 raise MessageError(f"{len(frames)} frames")
-            peer = self.peer or frames[0].decode()
+            peer = self.peer or self.routes.learn(frames[0].decode())
             message = decode(frames[-1])
         except (MessageError, UnicodeDecodeError):
             self.counters.malformed += 1
@@ -223,8 +256,6 @@
         self.counters = TransportCounters()
         socket = _open(context, zmq.ROUTER, identity, limits)
         socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        # A peer that replaced a silent connection comes back under its identity.
-        socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         if curve is not None:
             socket.setsockopt(zmq.CURVE_SERVER, 1)
             socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret)
@@ -270,6 +301,7 @@
         self._deliver = deliver
         self._undelivered = undelivered
         self._limits = limits or TransportLimits()
+        self._opened = 0
         self._owners: dict[str, _Owner] = {}
         self._addresses: dict[str, tuple[str, CurveKeys | None]] = {}
 
@@ -291,7 +323,9 @@
         for other, (used, _) in list(self._addresses.items()):
             if used == address:
                 await self.disconnect(other)
-        socket = _open(self._context, zmq.DEALER, self._identity, self._limits)
+        self._opened += 1
+        identity = f"{self._identity}/{self._opened}"
+        socket = _open(self._context, zmq.DEALER, identity, self._limits)
         if curve is not None:
             socket.setsockopt(zmq.CURVE_PUBLICKEY, curve.public)
             socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -111,7 +111,7 @@
         )
         await router.start()
         peer = context.socket(zmq.DEALER)
-        peer.setsockopt(zmq.IDENTITY, AGENT.encode())
+        peer.setsockopt(zmq.IDENTITY, f"{AGENT}/1".encode())
         peer.connect(f"tcp://{router.address}")
         good = encode(Forget([ScopedKey("t/k")]))
         for frames in ([b""], [b"\x02" + good[1:]], [good, good], [good[:-1]], [good]):
@@ -125,7 +125,7 @@
     assert received == [Forget([ScopedKey("t/k")])]
 
 
-def test_a_replaced_connection_takes_over_the_identity() -> None:
+def test_messages_follow_a_peer_to_its_latest_connection() -> None:
     """Guards against a router that keeps sending to the silent connection of a peer."""
     received: list[int] = []
 
@@ -136,7 +136,7 @@
         router = Router(context, ENTRY, "127.0.0.1:0", serve)
         await router.start()
         silent = context.socket(zmq.DEALER)
-        silent.setsockopt(zmq.IDENTITY, AGENT.encode())
+        silent.setsockopt(zmq.IDENTITY, f"{AGENT}/0".encode())
         silent.connect(f"tcp://{router.address}")
         silent.send(encode(permit(1)))
         await until(lambda: router.counters.received == 1)
@@ -180,6 +180,36 @@
     run(scenario)
 
 
+def test_closing_one_of_two_connections_of_a_peer_ends_nothing() -> None:
+    """Guards against libzmq aborting the entry, as it did with ROUTER_HANDOVER and heartbeats."""
+
+    async def scenario(context: zmq.Context) -> None:
+        router = Router(context, ENTRY, "127.0.0.1:0", lambda _peer, _message: None)
+        await router.start()
+        agents = [f"a-{number}+01" for number in range(6)]
+        peers = [Dealers(zmq.Context(), agent, lambda _peer, _message: None) for agent in agents]
+        for serial in range(8):
+            for dealers in peers:
+                await dealers.connect(f"first.{serial}", router.address)
+                dealers._addresses[f"first.{serial}"] = ("elsewhere", None)
+                await dealers.connect(f"second.{serial}", router.address)
+            for _ in range(10):
+                for agent, dealers in zip(agents, peers, strict=True):
+                    await dealers.send(f"first.{serial}", permit(1))
+                    await dealers.send(f"second.{serial}", permit(2))
+                    await router.send(agent, permit(3))
+                await curio.sleep(0.01)
+            for dealers in peers:
+                await dealers.disconnect(f"first.{serial}")
+            await curio.sleep(0.02)
+            for dealers in peers:
+                await dealers.disconnect(f"second.{serial}")
+        assert router.counters.received > 0
+        await router.close()
+
+    run(scenario)
+
+
 def test_identities_tell_agents_from_entries() -> None:
     """Guards against an entry's messages being taken for those of an agent."""
     assert parse_agent_identity(AGENT) == ("a-1", "01")
