--- a/snipewell/admission.py
+++ b/snipewell/admission.py
@@ -3,27 +3,30 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from random import Random
 
 from .effect import Submission
 from .ids import ZoneId
+from .message import Resources
 from .outcome import Impossible, NotRun
 from .resource import ServiceSpec, TeamSpec
-from .view import AgentView
+from .view import AgentView, fits
 
 
 @dataclass(frozen=True, slots=True)
 class AdmissionLimits:
     """Bounds of admission. ``max_waiting`` counts tasks; times are in milliseconds.
 
-    For ``settle_ms`` after the start of an entry, a missing worker is no proof that there is none.
+    For ``settle_ms`` after the start of an entry, a missing worker is no proof that there is none,
+    and a worker that has gone is remembered for ``remember_ms``.
     Shorter work that will arrive during a bulk job is taken from the last ``rate_window_ms``.
     """
 
     max_waiting: int = 200_000
     settle_ms: float = 2_000
+    remember_ms: float = 600_000
     rate_window_ms: float = 10_000
     min_retry_after_ms: int = 200
     max_retry_after_ms: int = 60_000
@@ -65,19 +68,29 @@
         self._at_ms = now_ms
 
 
+def is_allowed(view: AgentView, submission: Submission, service: ServiceSpec | None) -> bool:
+    """Return whether tasks of ``submission`` may go to the agent, by its service's rules too."""
+    if service is not None:
+        if service.zones and view.zone not in service.zones:
+            return False
+        if service.upstreams and view.upstream not in service.upstreams:
+            return False
+    return view.can_take(submission.service, submission.resources)
+
+
 def find_impossible(
     submission: Submission,
     service: ServiceSpec | None,
     zones: Collection[ZoneId],
-    workers: Collection[AgentView],
-    settled: bool,
-) -> Impossible | NotRun | None:
+    workers: Iterable[Resources],
+) -> Impossible | None:
     """Return why ``submission`` can never run, or None if it can.
 
     ``zones`` are all zones that operators declared, in service or not (empty: none declared yet),
-    and ``workers`` all agents seen lately, also those out of service. NotRun is returned while the
-    entry is not ``settled``, because an agent that it has not heard from may have the resources.
+    and ``workers`` what the workers seen lately have, also those out of service or gone.
     """
+    if not submission.tasks:
+        return Impossible("no tasks")
     if service is not None:
         if len(submission.tasks) > service.max_tasks:
             return Impossible(
@@ -85,16 +98,13 @@
             )
         if service.zones and zones and not set(service.zones) & set(zones):
             return Impossible(f"no zone of service {service.name} exists")
-    if not submission.tasks:
-        return Impossible("no tasks")
-    fitting = [view for view in workers if view.has_room_for(submission.resources)]
-    if not fitting and settled and workers:
-        need = submission.resources
-        return Impossible(
-            f"no worker has {need.cores:g} cores, {need.memory_mb} MB and"
-            f" {need.accelerators} accelerators"
-        )
-    return None
+    need = submission.resources
+    if any(fits(worker, need) for worker in workers):
+        return None
+    return Impossible(
+        f"no worker has {need.cores:g} cores, {need.memory_mb} MB and"
+        f" {need.accelerators} accelerators"
+    )
 
 
 def find_refusal(
--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -11,7 +11,14 @@
 from random import Random
 from statistics import median
 
-from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
+from .admission import (
+    AdmissionLimits,
+    ArrivalRate,
+    Demand,
+    find_impossible,
+    find_refusal,
+    is_allowed,
+)
 from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
@@ -26,7 +33,7 @@
     UpstreamId,
     ZoneId,
 )
-from .message import Candidate, Load, RefusalReason, TaskState
+from .message import Candidate, Load, RefusalReason, Resources, TaskState
 from .outcome import Impossible, NotRun
 from .outlier import Health, OutlierDetector, OutlierLimits
 from .placement import ZONE_DISTANCE_MS, AgentState, Option, Policy, choose
@@ -35,6 +42,7 @@
 
 _ASSESS_EVERY_MS = 100.0
 _OVERDUE_FACTOR = 4.0
+_ANY_WORKER = Resources(float("inf"), 2**62, 2**62)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +109,7 @@
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
+        self._workers: dict[Resources, float] = {}
         self._homes = 1
         self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
@@ -137,9 +146,10 @@
             state = self._agents[view.agent] = AgentState(view, distance_ms)
             self._outliers.add(view.upstream)
             self._eligible.clear()
-        elif _placement_part(state.view) != _placement_part(view):
+        elif state.view.traits() != view.traits():
             self._eligible.clear()
         state.view = view
+        self._workers[view.worker] = self._clock.now_ms()
         state.report(view.load, self._clock.now_ms())
 
     def on_agent_gone(self, agent: AgentId) -> None:
@@ -236,25 +246,23 @@
     def admit(self, submission: Submission) -> NotRun | Impossible | None:
         """Return why ``submission`` must be refused now, or None if it may be held and run."""
         now = self._clock.now_ms()
-        views = [state.view for state in self._agents.values()]
-        settled = now - self._started_ms >= self._limits.admission.settle_ms
+        limits = self._limits.admission
         service = self._services.get(submission.service)
-        impossible = find_impossible(submission, service, self._zones, views, settled)
+        workers = [w for w, seen in self._workers.items() if now - seen < limits.remember_ms]
+        if not workers or now - self._started_ms < limits.settle_ms:
+            workers.append(_ANY_WORKER)
+        impossible = find_impossible(submission, service, self._zones, workers)
         if impossible is not None:
             return impossible
         team = self._teams.get(submission.team, TeamSpec(submission.team))
-        return find_refusal(
-            submission, team, self._demand(submission), self._limits.admission, now, self._rng
-        )
+        demand = self._demand(submission)
+        return find_refusal(submission, team, demand, limits, now, self._rng)
 
     def candidates(self, submission: Submission) -> list[Candidate]:
         """Return the agents that may get tasks of ``submission``, at most ``max_candidates``."""
         service = self._services.get(submission.service)
-        fitting = [
-            state.view
-            for state in self._agents.values()
-            if _is_allowed(state.view, submission, service)
-        ]
+        views = [state.view for state in self._agents.values()]
+        fitting = [view for view in views if is_allowed(view, submission, service)]
         if len(fitting) > self._limits.max_candidates:
             fitting = self._rng.sample(fitting, self._limits.max_candidates)
         return [Candidate(view.agent, view.incarnation) for view in fitting]
@@ -312,11 +320,11 @@
         if eligible is None:
             if len(self._eligible) >= self._limits.max_classes:
                 self._eligible.clear()
-            eligible = self._eligible[placement] = [
-                self._agents[agent]
-                for agent in sorted(placement.candidates - placement.excluded)
-                if agent in self._agents and _is_placeable(self._agents[agent].view, placement)
-            ]
+            names = sorted(placement.candidates - placement.excluded)
+            states = [self._agents[name] for name in names if name in self._agents]
+            service, resources = placement.service, placement.resources
+            eligible = [state for state in states if state.view.can_take(service, resources)]
+            self._eligible[placement] = eligible
         return eligible
 
     def _grant(self, batch: Batch, option: Option, now_ms: float) -> Grant:
@@ -392,28 +400,3 @@
             max(0.0, work_ms - run_ms) / rate,
             run_ms,
         )
-
-
-def _is_allowed(view: AgentView, submission: Submission, service: ServiceSpec | None) -> bool:
-    if view.draining or not view.in_service or not view.offers(submission.service):
-        return False
-    if service is not None:
-        if service.zones and view.zone not in service.zones:
-            return False
-        if service.upstreams and view.upstream not in service.upstreams:
-            return False
-    return view.has_room_for(submission.resources)
-
-
-def _placement_part(view: AgentView) -> tuple[object, ...]:
-    """Return the part of a view that decides where an agent may be used."""
-    return view.draining, view.in_service, view.services, view.worker, view.upstream
-
-
-def _is_placeable(view: AgentView, placement: PlacementClass) -> bool:
-    return (
-        not view.draining
-        and view.in_service
-        and view.offers(placement.service)
-        and view.has_room_for(placement.resources)
-    )
--- a/snipewell/view.py
+++ b/snipewell/view.py
@@ -37,14 +37,31 @@
         """Return whether the upstream offers ``service``."""
         return not self.services or service in self.services
 
-    def has_room_for(self, resources: Resources) -> bool:
-        """Return whether the worker, when idle, has what ``resources`` asks for.
-
-        A worker that reports no cores or no memory has not declared them and is not checked.
-        """
-        worker = self.worker
+    def can_take(self, service: ServiceName, resources: Resources) -> bool:
+        """Return whether the agent may get tasks of ``service`` at all."""
         return (
-            (not worker.cores or resources.cores <= worker.cores)
-            and (not worker.memory_mb or resources.memory_mb <= worker.memory_mb)
-            and resources.accelerators <= worker.accelerators
+            not self.draining
+            and self.in_service
+            and self.offers(service)
+            and self.has_room_for(resources)
         )
+
+    def traits(self) -> tuple[object, ...]:
+        """Return the part of the view that decides what the agent can take."""
+        return self.draining, self.in_service, self.services, self.worker, self.upstream
+
+    def has_room_for(self, resources: Resources) -> bool:
+        """Return whether the worker, when idle, has what ``resources`` asks for."""
+        return fits(self.worker, resources)
+
+
+def fits(worker: Resources, resources: Resources) -> bool:
+    """Return whether ``worker`` has what ``resources`` asks for.
+
+    A worker that reports no cores or no memory has not declared them and is not checked.
+    """
+    return (
+        (not worker.cores or resources.cores <= worker.cores)
+        and (not worker.memory_mb or resources.memory_mb <= worker.memory_mb)
+        and resources.accelerators <= worker.accelerators
+    )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from snipewell.admission import AdmissionLimits, spread_retry_after
+from snipewell.clock import ManualClock
+from snipewell.dispatch import Dispatcher
+from snipewell.effect import Submission
+from snipewell.ids import Digest, EntryId, RequestId, ScopedKey, ServiceName, TeamName, ZoneId
+from snipewell.message import Resources
+from snipewell.outcome import Impossible, NotRun
+from snipewell.resource import ConfigurationSpec, ServiceSpec, TeamSpec
+from tests.test_dispatch import DYE, make_dispatcher, make_tasks, make_view
+
+
+def make_submission(count: int = 1, **changes: object) -> Submission:
+    values: dict[str, object] = {
+        "request": RequestId("r"),
+        "origin": EntryId("e.1"),
+        "key": ScopedKey("annex/k"),
+        "digest": Digest(""),
+        "service": DYE,
+        "team": TeamName("annex"),
+        "tasks": [b""] * count,
+        "deadline_at_ms": 20_000.0,
+        "job": count > 1,
+        "idempotent": False,
+        "resources": Resources(),
+    }
+    return Submission(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def make_settled() -> Dispatcher:
+    clock = ManualClock()
+    dispatcher = make_dispatcher(clock, make_view("a"), make_view("b"))
+    dispatcher.on_configuration(
+        [
+            ServiceSpec(DYE, max_tasks=100, expected_ms=200),
+            ServiceSpec(ServiceName("lost"), zones=[ZoneId("nowhere")]),
+        ],
+        [TeamSpec(TeamName("annex"), max_tasks_in_flight=150)],
+        [ZoneId("patan")],
+        ConfigurationSpec(),
+    )
+    clock.advance(3_000)
+    return dispatcher
+
+
+@pytest.mark.parametrize(
+    "submission",
+    [
+        make_submission(resources=Resources(cores=65)),
+        make_submission(resources=Resources(memory_mb=200_000)),
+        make_submission(resources=Resources(accelerators=1)),
+        make_submission(service=ServiceName("lost")),
+        make_submission(101),
+        make_submission(0),
+    ],
+)
+def test_a_job_that_can_never_run_is_impossible(submission: Submission) -> None:
+    """Guards against jobs that wait until their deadline for a worker that does not exist."""
+    assert isinstance(make_settled().admit(submission), Impossible)
+
+
+def test_no_worker_is_called_missing_before_the_entry_has_settled() -> None:
+    """Guards against a final answer from an entry that has not heard from all agents yet."""
+    clock = ManualClock()
+    dispatcher = make_dispatcher(clock, make_view("a"))
+    submission = make_submission(resources=Resources(accelerators=1), deadline_at_ms=90_000.0)
+    assert not isinstance(dispatcher.admit(submission), Impossible)
+    clock.advance(3_000)
+    assert isinstance(dispatcher.admit(submission), Impossible)
+
+
+def test_a_worker_that_has_just_gone_is_not_forgotten() -> None:
+    """Guards against calling a job impossible because its only worker restarts."""
+    clock = ManualClock()
+    big = make_view("big", worker=Resources(64, 128_000, 8))
+    dispatcher = make_dispatcher(clock, make_view("a"), big)
+    clock.advance(3_000)
+    dispatcher.on_agent_gone(big.agent)
+    submission = make_submission(resources=Resources(accelerators=8), deadline_at_ms=90_000.0)
+    assert dispatcher.admit(submission) is None
+
+
+def test_what_cannot_end_in_time_is_refused_at_once() -> None:
+    """Guards against accepting work that will be thrown away at its deadline."""
+    dispatcher = make_settled()
+    assert dispatcher.admit(make_submission()) is None
+    refusal = dispatcher.admit(make_submission(100, deadline_at_ms=4_000.0))
+    assert isinstance(refusal, NotRun)
+    assert refusal.retry_after_ms >= AdmissionLimits().min_retry_after_ms
+
+
+def test_a_quota_counts_waiting_and_running_tasks() -> None:
+    """Guards against one team that fills the backlog of an entry."""
+    dispatcher = make_settled()
+    dispatcher.enqueue(make_tasks("job", 100, ["a", "b"], deadline_at_ms=60_000.0))
+    assert len(dispatcher.next_grants()) > 0
+    refusal = dispatcher.admit(make_submission(60, deadline_at_ms=60_000.0))
+    assert isinstance(refusal, NotRun) and refusal.quota
+    assert dispatcher.admit(make_submission(40, deadline_at_ms=60_000.0)) is None
+
+
+def test_refused_callers_return_at_different_times() -> None:
+    """Guards against a wave of refused callers that returns as one wave."""
+    rng = Random(8)
+    returns = sorted(spread_retry_after(2_000, AdmissionLimits(), rng) for _ in range(1_000))
+    assert returns[0] >= 2_000 and returns[-1] <= 6_000
+    assert max(sum(low <= r < low + 400 for r in returns) for low in range(2_000, 6_000, 400)) < 200
