--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,252 @@
+"""Bench of the real processes on loopback: ``python -m bench [--json] [--long]``.
+
+Starts the stand-in store, balancer and upstreams, three entries and six agents, and sends seeded
+open-loop arrivals through the balancer, at load 0.3 and then at 0.7. The upstreams' own logs tell
+how long each task ran; what the response took beyond that is overhead.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import tempfile
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+
+import curio
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from snipewell.client import HttpPool
+from snipewell.outcome import SnipewellError
+from snipewell.web import Request
+from tests.processes import Cluster, call, now_ms
+
+SLOTS = 8
+AGENTS = 6
+SEED = 41
+DEADLINE_MS = 10_000
+CONNECTIONS = 400
+WARM_REQUESTS = 60
+TARGET_OVERHEAD_MS = 2.0
+TARGET_P50 = 1.1
+TARGET_P99 = 1.5
+TARGET_WASTED = 0.1
+TARGET_AGENT_MB = 64.0
+_SCALE = 1000
+
+
+@dataclass(slots=True)
+class Sent:
+    """One submission: its key, its tasks' times, and how long the answer took."""
+
+    key: str
+    at_ms: float
+    tasks_ms: list[int]
+    took_ms: float = 0.0
+    status: int = 0
+
+
+@dataclass(slots=True)
+class Phase:
+    """The figures of one load. Times are in milliseconds, memory in MB."""
+
+    load: float
+    tasks: int = 0
+    not_complete: int = 0
+    overhead_p50: float = 0.0
+    overhead_p99: float = 0.0
+    ratio_p50: float = 0.0
+    ratio_p99: float = 0.0
+    starts_a_task: float = 0.0
+    entry_cpu_ms_a_task: float = 0.0
+    agent_cpu_ms_a_task: float = 0.0
+    cpu_a_second: dict[str, float] = field(default_factory=dict)
+
+
+def draw(load: float, seconds: float, prefix: str) -> list[Sent]:
+    """Return Poisson arrivals: nine single requests of 50 to 500 ms to one job of 2 to 10."""
+    rng = Random(f"{SEED} {prefix}")
+    mean_work_ms = 275 * (0.9 + 0.1 * 6)
+    rate = load * SLOTS * AGENTS / mean_work_ms
+    sent: list[Sent] = []
+    at_ms = rng.expovariate(rate)
+    while at_ms < seconds * 1000:
+        count = rng.randint(2, 10) if rng.random() < 0.1 else 1
+        tasks = [rng.randint(50, 500) for _ in range(count)]
+        sent.append(Sent(f"{prefix}-{len(sent)}", at_ms, tasks))
+        at_ms += rng.expovariate(rate)
+    return sent
+
+
+async def submit(pool: HttpPool, sent: Sent, due_ms: float) -> None:
+    """Send one submission, and time it from when it was due: a late sender is not hidden."""
+    payloads = [{"ms": ms, "reply": sent.key} for ms in sent.tasks_ms]
+    if len(payloads) == 1:
+        path, body = "/v1/services/check/requests", json.dumps(payloads[0])
+    else:
+        path, body = "/v1/jobs", json.dumps({"service": "check", "tasks": payloads})
+    headers = {"Idempotency-Key": sent.key, "Deadline-Ms": str(DEADLINE_MS)}
+    try:
+        request = Request("POST", path, {}, headers, body.encode())
+        sent.status = (await pool.request(request, DEADLINE_MS + 2_000)).status
+    except SnipewellError:
+        sent.status = -1
+    sent.took_ms = now_ms() - due_ms
+
+
+async def send_all(address: str, arrivals: Sequence[Sent]) -> None:
+    """Send ``arrivals`` on time, whether earlier ones have been answered or not."""
+    pool = HttpPool(address, CONNECTIONS)
+    began_ms = now_ms()
+    async with curio.TaskGroup() as group:
+        for sent in arrivals:
+            due_ms = began_ms + sent.at_ms
+            delay_ms = due_ms - now_ms()
+            if delay_ms > 0:
+                await curio.sleep(delay_ms / 1000)
+            await group.spawn(submit, pool, sent, due_ms)
+
+
+def cpu_ms(cluster: Cluster, names: Sequence[str]) -> float:
+    """Return the processor time that the processes ``names`` have used."""
+    ticks = 0
+    for name in names:
+        popen = cluster.processes[name].popen
+        assert popen is not None
+        values = Path(f"/proc/{popen.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(values[11]) + int(values[12])
+    return ticks * 1000 / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(cluster: Cluster, names: Sequence[str]) -> float:
+    """Return the largest resident memory among the processes ``names``."""
+    largest = 0.0
+    for name in names:
+        popen = cluster.processes[name].popen
+        assert popen is not None
+        for line in Path(f"/proc/{popen.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                largest = max(largest, int(line.split()[1]) / 1024)
+    return largest
+
+
+def read_runs(cluster: Cluster) -> tuple[dict[tuple[str, int], float], int]:
+    """Return how long each task ran by the upstreams' logs, and the number of starts."""
+    runs: dict[tuple[str, int], float] = {}
+    starts = 0
+    for address in cluster.upstreams.values():
+        for start in call("GET", address, "/log").json()["starts"]:
+            starts += 1
+            if start["end_ms"] is not None:
+                key = start["key"].partition("/")[2]
+                runs[key, start["task"]] = start["end_ms"] - start["at_ms"]
+    return runs, starts
+
+
+def count_grants(cluster: Cluster) -> int:
+    """Return how many starts the entries logged that they sent."""
+    logs = [cluster.processes[name].log for name in cluster.entries]
+    return sum(log.read_text(errors="replace").count("granted a task") for log in logs)
+
+
+def run_phase(cluster: Cluster, load: float, seconds: float) -> Phase:
+    """Run one load and return its figures."""
+    arrivals = draw(load, seconds, f"load{int(load * 10)}")
+    agents = [f"a{number}" for number in range(AGENTS)]
+    entries = list(cluster.entries)
+    before = cpu_ms(cluster, entries), cpu_ms(cluster, agents), count_grants(cluster)
+    began_ms = now_ms()
+    curio.run(send_all, cluster.balancer, arrivals)
+    took_s = (now_ms() - began_ms) / 1000
+    after = cpu_ms(cluster, entries), cpu_ms(cluster, agents), count_grants(cluster)
+    runs, _ = read_runs(cluster)
+    phase = Phase(load, sum(len(sent.tasks_ms) for sent in arrivals))
+    overhead, ratio = HdrHistogram(1, 100_000_000, 3), HdrHistogram(1, 100_000_000, 3)
+    for sent in arrivals:
+        if sent.status != 200:
+            phase.not_complete += 1
+            continue
+        longest = max(runs[sent.key, task] for task in range(len(sent.tasks_ms)))
+        ratio.record_value(max(1, round(_SCALE * sent.took_ms / longest)))
+        if len(sent.tasks_ms) == 1:
+            overhead.record_value(max(1, round(_SCALE * (sent.took_ms - longest))))
+    phase.overhead_p50 = overhead.get_value_at_percentile(50) / _SCALE
+    phase.overhead_p99 = overhead.get_value_at_percentile(99) / _SCALE
+    phase.ratio_p50 = ratio.get_value_at_percentile(50) / _SCALE
+    phase.ratio_p99 = ratio.get_value_at_percentile(99) / _SCALE
+    tasks = max(1, phase.tasks)
+    phase.entry_cpu_ms_a_task = (after[0] - before[0]) / tasks
+    phase.agent_cpu_ms_a_task = (after[1] - before[1]) / tasks
+    phase.starts_a_task = (after[2] - before[2]) / tasks
+    phase.cpu_a_second = {
+        "entry": (after[0] - before[0]) / took_s / len(entries),
+        "agent": (after[1] - before[1]) / took_s / AGENTS,
+    }
+    return phase
+
+
+def run(seconds: float) -> tuple[list[Phase], dict[str, float]]:
+    """Run both loads on one set of processes; return the figures and the resident memory."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        Cluster(Path(directory), agent_count=AGENTS) as cluster,
+    ):
+        warm = draw(0.3, 3.0, "warm")[:WARM_REQUESTS]
+        curio.run(send_all, cluster.balancer, warm)
+        phases = [run_phase(cluster, load, seconds) for load in (0.3, 0.7)]
+        memory = {
+            "entry": resident_mb(cluster, list(cluster.entries)),
+            "agent": resident_mb(cluster, [f"a{number}" for number in range(AGENTS)]),
+        }
+    return phases, memory
+
+
+def print_results(phases: Sequence[Phase], memory: dict[str, float]) -> None:
+    """Print the figures and whether they meet the targets of docs/design.md, section 9."""
+    for phase in phases:
+        print(
+            f"load {phase.load}: {phase.tasks} tasks, {phase.not_complete} not complete,"
+            f" overhead p50 {phase.overhead_p50:.2f} ms p99 {phase.overhead_p99:.2f} ms,"
+            f" over ideal p50 {phase.ratio_p50:.3f} p99 {phase.ratio_p99:.3f},"
+            f" starts a task {phase.starts_a_task:.4f},"
+            f" CPU a task: entries {phase.entry_cpu_ms_a_task:.2f} ms,"
+            f" agents {phase.agent_cpu_ms_a_task:.2f} ms;"
+            f" CPU ms a second: entry {phase.cpu_a_second['entry']:.0f},"
+            f" agent {phase.cpu_a_second['agent']:.0f}"
+        )
+    print(f"resident: entry {memory['entry']:.1f} MB, agent {memory['agent']:.1f} MB")
+    low, high = phases
+    wasted = 2 * max(0.0, high.starts_a_task - 1)
+    for name, figure, target, met in (
+        ("overhead p50 at 0.3, ms", low.overhead_p50, TARGET_OVERHEAD_MS, None),
+        ("over ideal p50 at 0.7", high.ratio_p50, TARGET_P50, None),
+        ("over ideal p99 at 0.7", high.ratio_p99, TARGET_P99, None),
+        ("wasted messages a task at 0.7", wasted, TARGET_WASTED, wasted < TARGET_WASTED),
+        ("agent resident, MB", memory["agent"], TARGET_AGENT_MB, None),
+    ):
+        good = figure <= target if met is None else met
+        print(f"{'ok  ' if good else 'MISS'} {name}: {figure:.3f} (target {target})")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the bench and print the results."""
+    parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
+    parser.add_argument("--json", action="store_true", help="print JSON instead of text")
+    parser.add_argument("--long", action="store_true", help="60 s for each load instead of 15")
+    options = parser.parse_args(arguments)
+    phases, memory = run(60.0 if options.long else 15.0)
+    if options.json:
+        result = {"phases": [asdict(phase) for phase in phases], "resident_mb": memory}
+        print(msgspec.json.encode(result).decode())
+    else:
+        print_results(phases, memory)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
