Let a drain wait until no task can start any more

For 2,500 ms after a withdrawal is in force, a permit granted before may still start a task, so an idle reading in that time proves nothing. A drain now takes at least 3 s.

--- a/snipewell/command.py
+++ b/snipewell/command.py
@@ -12,7 +12,7 @@
 from .cli import FAILED, OK, UNKNOWN, USAGE, exit_status
 from .manifest import Difference, ManifestError, compare, load_json, read_manifest
 from .message import Resources
-from .operate import Written, is_drained
+from .operate import Written
 from .outcome import Complete, Outcome
 from .resource import Kind, SpecError, split_error
 from .settings import split_address
@@ -123,12 +123,12 @@
 
 async def drain(operator: Operator, kind: Kind, name: str, wait_ms: int, output: str) -> int:
     """Take an upstream or zone out, wait, and print its state; status 1 if it is not idle yet."""
-    document = await operator.drain(kind, name, wait_ms)
+    document, drained = await operator.drain(kind, name, wait_ms)
     if output == "json":
         _print_json(document)
     else:
         print(format_documents(kind, [document]))
-    return OK if is_drained(document) else FAILED
+    return OK if drained else FAILED
 
 
 def parse_url(url: str) -> tuple[str, Kind, str]:
--- a/snipewell/operate.py
+++ b/snipewell/operate.py
@@ -25,6 +25,8 @@
 SILENCE_MS = 7_000
 """A watch sends an empty line every 2 s; this long without one, the connection is given up."""
 POLL_MS = 200
+DRAIN_SETTLE_MS = 3_000
+"""Tasks may start for 2,500 ms after a withdrawal is in force, and show in the next heartbeat."""
 T = TypeVar("T")
 
 
@@ -220,17 +222,23 @@
         path = f"/v1/{kind.value}/{escape(name)}"
         return await self._call(Request("PUT", path, {}, {}, body), Written)
 
-    async def drain(self, kind: Kind, name: str, wait_ms: float) -> Document:
-        """Take a zone or an upstream out and wait until that is in force and no task runs there.
+    async def drain(self, kind: Kind, name: str, wait_ms: float) -> tuple[Document, bool]:
+        """Take a zone or an upstream out and wait until no task runs or can start there.
 
-        Returns the last state. After ``wait_ms`` that is the state as it is, see `is_drained`.
+        Returns the last state, and whether that was reached within ``wait_ms``.
         """
         await self.set_in_service(kind, name, False)
         end_ms = self._caller.clock.now_ms() + wait_ms
+        in_force_ms: float | None = None
         while True:
             (document,) = await self.get(kind, name)
-            if is_drained(document) or self._caller.clock.now_ms() >= end_ms:
-                return document
+            now = self._caller.clock.now_ms()
+            if in_force_ms is None and _holds(document, "InForce"):
+                in_force_ms = now
+            settled = in_force_ms is not None and now - in_force_ms >= DRAIN_SETTLE_MS
+            drained = settled and _holds(document, "Idle", True)
+            if drained or now >= end_ms:
+                return document, drained
             await curio.sleep(POLL_MS / 1000)
 
     def watch(self, kind: Kind) -> Watch:
@@ -268,10 +276,7 @@
             raise ApiError(Step.EDGE, peer, response.status, f"unknown answer: {error}") from None
 
 
-def is_drained(document: Document) -> bool:
-    """Return whether a resource's status says that it is in force and that no task runs there."""
+def _holds(document: Document, condition: str, default: bool = False) -> bool:
     status = document.status
-    if status is None:
-        return False
-    held = {condition.type: condition.status for condition in status.conditions}
-    return held.get("InForce", False) and held.get("Idle", True)
+    held = {c.type: c.status for c in status.conditions} if status is not None else {}
+    return held.get(condition, default)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -119,16 +119,20 @@
     run_with_entry(scenario)
 
 
-def test_drain_waits_until_it_is_in_force() -> None:
+def test_drain_waits_until_it_is_in_force_and_no_task_can_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against telling an operator that an upstream is idle while entries still use it."""
+    monkeypatch.setattr("snipewell.operate.DRAIN_SETTLE_MS", 100)
 
     async def scenario(entry: FakeEntry) -> None:
         entry.in_force = False
         operator = Operator([entry.address], limits=LIMITS)
-        document = await operator.drain(Kind.UPSTREAM, "runner-01", 50)
-        assert document.status is not None and not document.status.conditions[0].status
+        assert not (await operator.drain(Kind.UPSTREAM, "runner-01", 50))[1]
         entry.in_force = True
-        document = await operator.drain(Kind.UPSTREAM, "runner-01", 5_000)
-        assert document.status is not None and document.status.conditions[0].status
+        assert not (await operator.drain(Kind.UPSTREAM, "runner-01", 0))[1]
+        reads = len(entry.seen)
+        assert (await operator.drain(Kind.UPSTREAM, "runner-01", 5_000))[1]
+        assert [request.method for request in entry.seen[reads:]] == ["PUT", "GET", "GET"]
 
     run_with_entry(scenario)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -63,8 +63,11 @@
     assert shown == snapshot
 
 
-def test_operators_commands(shell: Shell, snapshot: SnapshotAssertion) -> None:
+def test_operators_commands(
+    shell: Shell, snapshot: SnapshotAssertion, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a misspelt zone being declared, and an apply that brings a zone back."""
+    monkeypatch.setattr("snipewell.operate.DRAIN_SETTLE_MS", 0)
     shell.run("apply", str(EXAMPLES / "scoopwell" / "resources" / "zones.json"))
     shown = [shell.run("zone", "pos-east", "out"), shell.run("zone", "pos-eats", "out")]
     shown += [shell.run("drain", "upstreams/scoop-runner-01"), shell.run("status")]
