Show each protection of submissions failing without it in a fixed scenario

Each switch now has a scenario in which the checker accepts the protected and rejects the unprotected run.

--- a/snipewell/home.py
+++ b/snipewell/home.py
@@ -85,6 +85,7 @@
         self._propose_at_ms = 0.0
         self._leaving_at_ms = 0.0
         self._move_at_ms = 0.0
+        self._sweep_at_ms = 0.0
 
     @classmethod
     def from_config(
@@ -326,11 +327,22 @@
             tenure = self._tenures.get(run.partition)
             if tenure is not None:
                 effects += tenure.register.wake(run)
-        for tenure in self._tenures.values():
-            effects += tenure.tick()
+        effects += self._tick_tenures()
         self._holder.tick()
         return effects + self._announce_leaving() + self._move() + self._propose()
 
+    def _tick_tenures(self) -> list[Effect]:
+        """Tick partitions in recovery each time, and the others as often as messages are resent."""
+        now_ms = self._clock.now_ms()
+        sweep = now_ms >= self._sweep_at_ms
+        if sweep:
+            self._sweep_at_ms = now_ms + self._limits.hold_retry_ms
+        effects: list[Effect] = []
+        for tenure in self._tenures.values():
+            if sweep or tenure.is_recovering:
+                effects += tenure.tick()
+        return effects
+
     def _drained_entries(self) -> set[EntryId]:
         return self._leaving | {self._context.entry} if self._draining else self._leaving
 
--- a/snipewell/replication.py
+++ b/snipewell/replication.py
@@ -9,6 +9,9 @@
 
 Holders = tuple[EntryId, ...]
 
+_MAX_IN_FLIGHT = 4_096
+"""Messages whose acknowledgement is recognized; the records of an older one are sent again."""
+
 
 class Replication:
     """Acknowledgements of one partition's records by its holders.
@@ -73,6 +76,8 @@
     def sent(self, sequence: int, entry: EntryId, keys: Iterable[ScopedKey]) -> None:
         """Note which versions a message to ``entry`` carries."""
         self._in_flight[sequence] = (entry, [(key, self._versions[key]) for key in keys])
+        if len(self._in_flight) > _MAX_IN_FLIGHT:
+            del self._in_flight[next(iter(self._in_flight))]
 
     def acknowledge(
         self, sequence: int, entry: EntryId, keys: set[ScopedKey] | None
@@ -108,10 +113,6 @@
             if key in missing:
                 missing[key] = missing.pop(key)
 
-    def expire(self, before: int) -> None:
-        """Stop waiting for answers to messages numbered below ``before``."""
-        self._in_flight = {n: sent for n, sent in self._in_flight.items() if n >= before}
-
     def is_held(self, key: ScopedKey) -> bool:
         """Return whether a majority of every holder set that may be in force has the record."""
         return all(self._is_held_by(key, holders) for holders in (self._holders, *self._proposed))
--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -78,6 +78,11 @@
         """The entry that is to be the next home, if the partition is being handed over."""
         return self.register.handover
 
+    @property
+    def is_recovering(self) -> bool:
+        """Whether records are still being collected from holders or agents."""
+        return self.phase is Phase.FETCHING or self._collecting is not None
+
     def is_granting(self) -> bool:
         """Return whether tasks may be granted now."""
         return self.phase is not Phase.FETCHING and not self.register.suspended
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -59,7 +60,7 @@
 )
 from snipewell.partition import PartitionTable, plan_table
 from tests.fake_agent import UnfencedLedger
-from tests.history import Event, Invoked, Started, check_history
+from tests.history import Answered, Event, Invoked, Started, check_history
 from tests.simulation import Faults, World
 
 SERVICE, TEAM = ServiceName("dye-test"), TeamName("annex")
@@ -76,6 +77,7 @@
         self.clock = ManualClock(1_000)
         self.silent: set[EntryId] = set()
         self.sent: list[Effect] = []
+        self.events: list[Event] = []
         self.outcomes: dict[str, Outcome] = {}
         self.table: PartitionTable | None = None
         self._version = 0
@@ -169,6 +171,16 @@
         start = homes.grant(KEY, TaskIndex(task), agent, LIFE)
         return 0 if start is None else start.attempt
 
+    def start(self, agent: AgentId, at: EntryId | None = None) -> None:
+        if self.grant(agent=agent, at=at):
+            self.events.append(Started(0, KEY, 0, agent))
+
+    def run(self, request: str, agent: AgentId, at: EntryId | None = None) -> None:
+        """Submit a request, and start its task at ``agent`` if that is granted."""
+        self.events.append(Invoked(0, request, KEY, 1, False, True))
+        self.submit(request, at=at)
+        self.start(agent, at)
+
     def result(self, task: int = 0, agent: AgentId = A, state: TaskState = TaskState.OK) -> None:
         body = f"r{task}".encode() if state is TaskState.OK else b""
         message = Result(KEY, TaskIndex(task), state, body, "", 1.0, Load())
@@ -182,35 +194,83 @@
 
 
 SWITCHES = [
-    ("holder_acknowledgement", 29, Faults(0.05, ("pause_and_kill", "kill_entry"))),
     ("collect_before_resume", 0, Faults(0.01, ("kill_entry",))),
     ("refusal_memory", 2, Faults(0.01, ("pause_entry",))),
     ("one_grant", 0, Faults(0.01, ("pause_agent",))),
-    ("coverage", 20, Faults(0.01, ("pause_and_kill",))),
 ]
 
 
 @pytest.mark.parametrize(("switch", "seed", "faults"), SWITCHES)
-def test_checker_notices_a_missing_protection(switch: str, seed: int, faults: Faults) -> None:
-    """Guards against a protection, or a check, that has no effect."""
+def test_simulation_notices_a_missing_protection(switch: str, seed: int, faults: Faults) -> None:
+    """Guards against a simulation that never meets the failures it is there for."""
     assert World(seed, faults).run() == []
     assert World(seed, faults, Protections(**{switch: False})).run() != []
 
 
-@pytest.mark.parametrize("protected", [True, False])
-def test_paused_home_admits_nothing_once_it_is_replaced(protected: bool) -> None:
-    """Guards against a home that wakes with an old table and starts a key that ran elsewhere."""
-    cluster = Cluster(3, Protections(holder_epoch=protected))
+def lose_home_that_reached_no_holder(cluster: Cluster) -> None:
+    home = cluster.home
+    cluster.silent = set(cluster.homes) - {home}
+    cluster.run("r1", A)
+    cluster.silent = set()
+    cluster.lose(home)
+    cluster.run("r2", B)
+
+
+def wake_home_after_its_replacement(cluster: Cluster) -> None:
     old = cluster.home
     cluster.lose(old)
-    events = []
-    for entry, agent in ((cluster.home, A), (old, B)):
-        cluster.silent.clear()
-        cluster.submit(f"r-{entry}", at=entry)
-        events.append(Invoked(0, f"r-{entry}", KEY, 1, False, True))
-        if cluster.grant(agent=agent, at=entry):
-            events.append(Started(0, KEY, 0, agent))
-    assert (check_history(events) == []) == protected
+    cluster.run("r1", A)
+    cluster.silent.clear()
+    cluster.run("r2", B, at=old)
+
+
+def lose_home_while_a_task_runs(cluster: Cluster) -> None:
+    cluster.run("r1", A)
+    cluster.lose(cluster.home)
+    cluster.run("r2", B)
+
+
+def refuse_while_an_attempt_is_under_way(cluster: Cluster) -> None:
+    refusal = NotRun("quota", 5_000, True)
+    cluster.events.append(Invoked(0, "r1", KEY, 1, False, True))
+    home = cluster.homes[cluster.home]
+    cluster.apply(cluster.home, home.refuse(cluster.submission("r1"), refusal))
+    cluster.events.append(Answered(0, "r1", cluster.outcomes["r1"]))
+    cluster.run("r2", A)
+
+
+def silence_the_agent(cluster: Cluster) -> None:
+    cluster.run("r1", A)
+    cluster.advance(3_500)
+    cluster.start(B)
+
+
+def lose_home_and_holders(cluster: Cluster) -> None:
+    cluster.run("r1", A)
+    assert cluster.table is not None
+    cluster.lose(*cluster.table.partitions[0].holders)
+    cluster.run("r2", B)
+
+
+@pytest.mark.parametrize("protected", [True, False])
+@pytest.mark.parametrize(
+    ("switch", "entries", "scenario"),
+    [
+        ("holder_acknowledgement", 3, lose_home_that_reached_no_holder),
+        ("holder_epoch", 3, wake_home_after_its_replacement),
+        ("collect_before_resume", 3, lose_home_while_a_task_runs),
+        ("refusal_memory", 3, refuse_while_an_attempt_is_under_way),
+        ("one_grant", 1, silence_the_agent),
+        ("coverage", 4, lose_home_and_holders),
+    ],
+)
+def test_each_protection_prevents_a_violation(
+    switch: str, entries: int, scenario: Callable[[Cluster], None], protected: bool
+) -> None:
+    """Guards against a protection without effect, and a checker that overlooks its absence."""
+    cluster = Cluster(entries, Protections(**{switch: protected}))
+    scenario(cluster)
+    assert (check_history(cluster.events) == []) == protected
 
 
 @pytest.mark.parametrize("kind", [Ledger, UnfencedLedger])
