--- a/snipewell/recovery.py
+++ b/snipewell/recovery.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 from .clock import Clock
 from .effect import Effect, SendAgent, SendEntry
 from .holder import merge_records
 from .ids import AgentId, EntryId, Epoch, Incarnation, Partition, ScopedKey
 from .limits import HomeLimits, read_quorum
-from .message import Candidate, Collect, Collected, Fetch, Fetched, KeyRecord, TaskRecord
+from .message import (
+    Candidate,
+    Collect,
+    Collected,
+    Fetch,
+    Fetched,
+    KeyRecord,
+    TaskRecord,
+    TaskState,
+)
+from .outcome import Complete, Step, Unknown
 from .partition import PartitionEntry
+from .submission import Run, RunState
 
 
 class Fetching:
@@ -164,3 +175,48 @@
             if not keys:
                 del self._groups[candidates]
         return decided
+
+
+def resolve_run(
+    run: Run, found: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
+) -> list[Effect]:
+    """Reconcile ``run`` with the candidate agents' records, after they were fenced.
+
+    ``clean`` is whether every candidate answered in the life that the record names and no
+    record was lost: only then may a task without a start record still start.
+    """
+    run.state = RunState.PARKED
+    run.granted = bool(found) or not clean
+    if found:
+        run.open_slots()
+    failed: list[tuple[Candidate, TaskRecord]] = []
+    for candidate, record in found:
+        slot = run.slot_of(record.task)
+        if slot is None:
+            continue
+        if record.state is TaskState.OK and (record.body_kept or record.body):
+            slot.body, slot.agent = record.body, candidate.agent
+            run.finished += 1
+        elif record.state in (TaskState.RUNNING, TaskState.QUEUED):
+            slot.agent, slot.incarnation = candidate.agent, candidate.incarnation
+            slot.heard_at_ms, slot.gone = now_ms, True
+        elif record.state is not TaskState.NOT_STARTED:
+            slot.excluded |= {candidate.agent}
+            failed.append((candidate, record))
+    return _conclude(run, failed, clean, now_ms)
+
+
+def _conclude(
+    run: Run, failed: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
+) -> list[Effect]:
+    if run.finished == run.count:
+        return run.end(Complete([slot.body or b"" for slot in run.slots]), now_ms)
+    for candidate, record in failed:
+        if run.slots[record.task].agent is not None or run.retryable:
+            continue
+        return run.fail(Step.RECOVERY, candidate.agent, record, now_ms)
+    open_slots = any(slot.agent is None and slot.body is None for slot in run.slots)
+    if open_slots and (run.released or not (clean or run.retryable)):
+        reason = "the home failed, and not every agent could say what it had started"
+        return run.end(Unknown(Step.RECOVERY, str(run.partition), reason), now_ms)
+    return []
--- a/snipewell/register.py
+++ b/snipewell/register.py
@@ -6,7 +6,7 @@
 
 from .effect import Effect, Reply, SendAgent, SendEntry, Submission, Withdraw
 from .holder import record_size
-from .ids import EntryId, Partition, RequestId, ScopedKey, Ticket
+from .ids import EntryId, Partition, RequestId, ScopedKey
 from .limits import majority
 from .message import (
     Candidate,
@@ -21,6 +21,7 @@
 )
 from .outcome import Complete, Conflict, Impossible, NotRun, Outcome, Step, Unknown
 from .partition import PartitionEntry
+from .proof import is_proved_new
 from .replication import Replication
 from .runtable import HomeContext
 from .submission import Run, RunState
@@ -94,20 +95,10 @@
         return [Reply(submission.request, submission.key, outcome)]
 
     def _is_new(self, key: ScopedKey) -> bool:
-        """Return whether a key without a record has provably never run."""
-        limits, clock = self._context.limits, self._context.clock
-        if not self._context.protections.coverage:
-            return True
-        ticket = Ticket.parse(key.partition("/")[2])
-        if ticket is not None:
-            age_ms = clock.wall_ms() - ticket.issued_ms
-            issued = self.assigned.coverage_epoch <= ticket.epoch <= self.assigned.epoch
-            margin_ms = limits.ticket_margin_ms
-            return issued and -margin_ms <= age_ms < limits.window_ms - margin_ms
-        if self.assigned.coverage_epoch == 0:
-            return True
-        covered_ms = clock.now_ms() - self._covered_since_ms
-        return covered_ms > limits.window_ms + limits.max_deadline_ms
+        context = self._context
+        return not context.protections.coverage or is_proved_new(
+            key, self.assigned, self._covered_since_ms, context.clock, context.limits
+        )
 
     def _may_restart(self, run: Run) -> bool:
         now_ms = self._context.clock.now_ms()
--- a/snipewell/submission.py
+++ b/snipewell/submission.py
@@ -249,12 +249,13 @@
 
     def on_refused(self, agent: AgentId, message: Refused) -> list[Effect]:
         """Return the task to the backlog if its present grant was refused."""
-        slot = self._slot(message.task)
+        slot = self.slot_of(message.task)
         if slot is None or slot.agent != agent or slot.attempt != message.attempt:
             return []
         return self._requeue(message.task, message.reason is RefusalReason.CANCELLED)
 
-    def _slot(self, task: TaskIndex) -> TaskSlot | None:
+    def slot_of(self, task: TaskIndex) -> TaskSlot | None:
+        """Return the state of a task that has not ended, None if there is none."""
         if not 0 <= task < len(self.slots):
             return None
         slot = self.slots[task]
@@ -279,7 +280,7 @@
     def _on_end(
         self, agent: AgentId, record: TaskRecord, now_ms: float, budget: RetryBudget
     ) -> list[Effect]:
-        slot = self._slot(record.task)
+        slot = self.slot_of(record.task)
         if slot is None or self.state in (RunState.HOLDING, RunState.REFUSING):
             return []
         if record.state is TaskState.OK and (record.body_kept or record.body):
@@ -292,9 +293,10 @@
             return []
         if self._may_retry(slot, budget):
             return self._requeue(record.task, exclude=True)
-        return self._fail(Step.UPSTREAM, agent, record, now_ms)
+        return self.fail(Step.UPSTREAM, agent, record, now_ms)
 
-    def _fail(self, step: Step, agent: AgentId, record: TaskRecord, now_ms: float) -> list[Effect]:
+    def fail(self, step: Step, agent: AgentId, record: TaskRecord, now_ms: float) -> list[Effect]:
+        """End the run because of the task of ``record``, which an agent reported."""
         reason = record.reason or _REASONS.get(record.state, "the outcome is unknown")
         if record.state is TaskState.FAILED:
             return self.end(Failed(Step.UPSTREAM, agent, reason), now_ms)
@@ -312,7 +314,7 @@
         """Take what an agent says of tasks that were silent."""
         effects: list[Effect] = []
         for record in message.records:
-            slot = self._slot(record.task)
+            slot = self.slot_of(record.task)
             if slot is None or record.key != self.key:
                 continue
             current = slot.agent == agent
@@ -343,49 +345,6 @@
                 effects += self._requeue(TaskIndex(index), exclude=True)
         return effects
 
-    def resolve(
-        self, found: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
-    ) -> list[Effect]:
-        """Take what the candidate agents recorded, after a new home has fenced the old one.
-
-        ``clean`` is whether every candidate answered in the life that the record names and no
-        record was lost: only then may a task without a start record still start.
-        """
-        self.state = RunState.PARKED
-        self.granted = bool(found) or not clean
-        if found:
-            self.open_slots()
-        failed: list[tuple[Candidate, TaskRecord]] = []
-        for candidate, record in found:
-            slot = self._slot(record.task)
-            if slot is None:
-                continue
-            if record.state is TaskState.OK and (record.body_kept or record.body):
-                slot.body, slot.agent = record.body, candidate.agent
-                self.finished += 1
-            elif record.state in (TaskState.RUNNING, TaskState.QUEUED):
-                slot.agent, slot.incarnation = candidate.agent, candidate.incarnation
-                slot.heard_at_ms, slot.gone = now_ms, True
-            elif record.state is not TaskState.NOT_STARTED:
-                slot.excluded |= {candidate.agent}
-                failed.append((candidate, record))
-        return self._conclude(failed, clean, now_ms)
-
-    def _conclude(
-        self, failed: Sequence[tuple[Candidate, TaskRecord]], clean: bool, now_ms: float
-    ) -> list[Effect]:
-        if self.finished == self.count:
-            return self.end(Complete([slot.body or b"" for slot in self.slots]), now_ms)
-        for candidate, record in failed:
-            if self.slots[record.task].agent is not None or self.retryable:
-                continue
-            return self._fail(Step.RECOVERY, candidate.agent, record, now_ms)
-        open_slots = any(slot.agent is None and slot.body is None for slot in self.slots)
-        if open_slots and (self.released or not (clean or self.retryable)):
-            reason = "the home failed, and not every agent could say what it had started"
-            return self.end(Unknown(Step.RECOVERY, str(self.partition), reason), now_ms)
-        return []
-
     def check(
         self, now_ms: float, epoch: Epoch, query_after_ms: float, regrant: bool
     ) -> list[Effect]:
--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -20,7 +20,7 @@
 )
 from .outcome import Impossible, NotRun, Step, Unknown
 from .partition import PartitionEntry
-from .recovery import Collecting, Fetching
+from .recovery import Collecting, Fetching, resolve_run
 from .register import Register
 from .runtable import HomeContext
 from .submission import RunState
@@ -308,7 +308,7 @@
             if run is None or run.state is not RunState.COLLECTING:
                 continue
             clean = (clean and not self._is_outdated(run.epoch)) or not protected
-            effects += run.resolve(found, clean, now_ms)
+            effects += resolve_run(run, found, clean, now_ms)
             self.register.arm(run)
             effects += self.register.settle(run) + self.register.resume(run)
         if self._collecting.is_done():
