--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -42,6 +42,8 @@
 
 _ASSESS_EVERY_MS = 100.0
 _OVERDUE_FACTOR = 4.0
+_LOST_AFTER_MS = 5_000.0
+_MAX_RETURNED = 10_000
 _ANY_WORKER = Resources(float("inf"), 2**62, 2**62)
 
 
@@ -214,6 +216,8 @@
         run = self._end(key, task)
         if run is not None:
             self._correct(run, 0.0)
+            if len(self._returned) >= _MAX_RETURNED:
+                self._returned.clear()
             self._returned[key, task] = run.arrived_ms
         self.on_started(agent, load)
 
@@ -310,10 +314,9 @@
         ]
 
     def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
-        """Return whether to probe with this task: a single request, so that no job is lost."""
-        return placement.size is Size.SINGLE and self._outliers.may_probe(
-            state.view.upstream, state.own, now_ms
-        )
+        """Return whether to probe with this task."""
+        single = placement.size is Size.SINGLE
+        return self._outliers.may_probe(state.view.upstream, state.own, now_ms, single)
 
     def _find_eligible(self, placement: PlacementClass) -> list[AgentState]:
         eligible = self._eligible.get(placement)
@@ -350,13 +353,19 @@
     def _assess(self, now_ms: float) -> None:
         """Learn from tasks that are overdue, and eject or probe upstreams.
 
-        A few tasks take long anywhere; only if half of an agent's tasks are overdue is it slow.
+        A few tasks take long anywhere; only if half of an agent's tasks are overdue is it slow. A
+        task whose end was never reported frees its slot some time after its deadline.
         """
         self._assessed_ms = now_ms
         overdue: dict[AgentId, list[_Running]] = {}
-        for run in self._running.values():
-            if now_ms - run.granted_ms >= run.overdue_ms:
+        lost = []
+        for place, run in self._running.items():
+            if now_ms >= run.ready.deadline_at_ms + _LOST_AFTER_MS:
+                lost.append(place)
+            elif now_ms - run.granted_ms >= run.overdue_ms:
                 overdue.setdefault(run.agent, []).append(run)
+        for place in lost:
+            self._end(*place)
         for agent, runs in overdue.items():
             state = self._agents.get(agent)
             if state is None or len(runs) < max(2, state.own / 2):
--- a/snipewell/outlier.py
+++ b/snipewell/outlier.py
@@ -49,6 +49,7 @@
     max_eject_ms: float = 300_000
     probes: int = 3
     probe_gap_ms: float = 250
+    probe_patience_ms: float = 10_000
     healthy_ms: float = 60_000
     remembered_keys: int = 32
     compared: int = 64
@@ -123,9 +124,18 @@
         record = self._records.get(upstream)
         return min(1.0, record.excess / self._limits.window) if record else 0.0
 
-    def may_probe(self, upstream: UpstreamId, running: int, now_ms: float) -> bool:
-        """Return whether a probing upstream with ``running`` tasks may get one now."""
+    def may_probe(
+        self, upstream: UpstreamId, running: int, now_ms: float, single: bool = True
+    ) -> bool:
+        """Return whether a probing upstream with ``running`` tasks may get one now.
+
+        A probe is a ``single`` request, so that its failure loses no job; a task of a job is taken
+        when no single request came for ``probe_patience_ms``.
+        """
         record = self._records[upstream]
+        waited_ms = now_ms - max(record.until_ms, record.probed_ms)
+        if not single and waited_ms < self._limits.probe_patience_ms:
+            return False
         return running == 0 and now_ms - record.probed_ms >= self._limits.probe_gap_ms
 
     def on_probe(self, upstream: UpstreamId, now_ms: float) -> None:
@@ -175,6 +185,7 @@
         for record in self._records.values():
             if record.health is Health.EJECTED and now_ms >= record.until_ms:
                 record.health = Health.PROBING
+                record.until_ms = now_ms
                 record.good_probes = 0
                 record.slowness = 0.0
         known = [factor for factor, samples in factors.values() if samples >= 1]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -121,3 +121,59 @@
     assert len(dispatcher.next_grants()) == 1
     dispatcher.on_agent(make_view("a", incarnation="2", slots=1))
     assert [grant.incarnation for grant in dispatcher.next_grants()] == ["2"]
+
+
+def test_a_task_whose_end_was_never_reported_frees_its_slot() -> None:
+    """Guards against slots that leak when a result is lost and its task settled in another way."""
+    clock = ManualClock()
+    dispatcher = make_dispatcher(clock, make_view("a", slots=1))
+    dispatcher.enqueue(make_tasks("lost", 1, ["a"]))
+    assert len(dispatcher.next_grants()) == 1
+    clock.advance(20_000)
+    dispatcher.on_agent(make_view("a", slots=1))
+    dispatcher.enqueue(make_tasks("next", 1, ["a"], deadline_at_ms=60_000.0))
+    assert [grant.key for grant in dispatcher.next_grants()] == ["annex/next"]
+
+
+def test_a_bulk_job_leaves_slots_of_fast_upstreams_to_single_requests() -> None:
+    """Guards against single requests that queue behind a rebuild on every fast upstream."""
+    clock = ManualClock()
+    agents = ["a", "b", "c"]
+    dispatcher = make_dispatcher(clock, *(make_view(name, slots=8) for name in agents))
+    for number, name in enumerate(agents):
+        for sample in range(20):
+            key = f"learn-{name}-{sample}"
+            dispatcher.enqueue(make_tasks(key, 1, [name], deadline_at_ms=1e6))
+            (grant,) = dispatcher.next_grants()
+            clock.advance(50)
+            dispatcher.on_result(
+                grant.agent, grant.key, grant.task, TaskState.OK, 100.0 * (number + 1), Load()
+            )
+    clock.advance(200)
+    dispatcher.enqueue(make_tasks("rebuild", 40, agents, deadline_at_ms=1e6))
+    granted = [grant.agent for grant in dispatcher.next_grants()]
+    assert [granted.count(AgentId(name)) for name in agents] == [5, 8, 8]
+    dispatcher.enqueue(make_tasks("one", 1, agents, deadline_at_ms=1e6))
+    assert [grant.agent for grant in dispatcher.next_grants()] == ["a"]
+
+
+def test_entries_with_the_same_view_do_not_choose_alike() -> None:
+    """Guards against several entries that all grant to the same agent at the same moment."""
+    chosen = set()
+    for seed in range(12):
+        views = [make_view(name, slots=8) for name in "abcdef"]
+        dispatcher = Dispatcher(
+            ManualClock(), Random(seed), ZoneId("patan"), ExpectedFinish(), DispatchLimits()
+        )
+        for view in views:
+            dispatcher.on_agent(view)
+        dispatcher.enqueue(make_tasks("one", 1, list("abcdef")))
+        chosen.add(dispatcher.next_grants()[0].agent)
+    assert len(chosen) >= 4
+
+
+def test_a_task_waits_for_a_worker_that_has_its_resources_free() -> None:
+    """Guards against more cores in use on a worker than it has."""
+    dispatcher = make_dispatcher(ManualClock(), make_view("a", slots=8))
+    dispatcher.enqueue(make_tasks("wide", 3, ["a"], resources=Resources(cores=30)))
+    assert len(dispatcher.next_grants()) == 2
--- a/tests/test_outlier.py
+++ b/tests/test_outlier.py
@@ -83,6 +83,8 @@
         detector.tick(ordinary, now_ms)
         assert detector.health(NAMES[0]) is Health.PROBING
         assert detector.may_probe(NAMES[0], 0, now_ms)
+        assert not detector.may_probe(NAMES[0], 0, now_ms, single=False)
+        assert detector.may_probe(NAMES[0], 0, now_ms + 20_000, single=False)
         detector.on_probe(NAMES[0], now_ms)
         assert not detector.may_probe(NAMES[0], 0, now_ms + 10)
         for number in range(3):
