--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -26,6 +27,7 @@
 from .ids import (
     AgentId,
     Incarnation,
+    RackId,
     ScopedKey,
     ServiceName,
     TaskIndex,
@@ -84,6 +86,7 @@
     ready: TaskReady
     agent: AgentId
     arrived_ms: float
+    rack: RackId
     charged_ms: float
     granted_ms: float
     overdue_ms: float
@@ -108,6 +111,7 @@
         self._running: dict[tuple[ScopedKey, TaskIndex], _Running] = {}
         self._returned: dict[tuple[ScopedKey, TaskIndex], float] = {}
         self._team_running: dict[TeamName, int] = {}
+        self._racks: dict[ScopedKey, Counter[RackId]] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
@@ -240,6 +244,11 @@
             if batch is None:
                 break
             options = self._options(batch.placement, now)
+            racks = self._racks.get(batch.key)
+            if racks:
+                running = racks.total()
+                for choice in options:
+                    choice.rack_share = racks[choice.state.view.rack] / running
             option = choose(self._policy, options, self._rng)
             if option is None:
                 blocked.add(batch.placement)
@@ -338,8 +347,10 @@
         state.begin(task.resources, self._grants, now_ms)
         overdue_ms = _OVERDUE_FACTOR * max(option.expected_ms, batch.expected_ms)
         self._running[task.key, task.task] = _Running(
-            task, view.agent, batch.arrived_ms, batch.expected_ms, now_ms, overdue_ms
+            task, view.agent, batch.arrived_ms, view.rack, batch.expected_ms, now_ms, overdue_ms
         )
+        if task.job_size > 1:
+            self._racks.setdefault(task.key, Counter())[view.rack] += 1
         self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
         reason = f"load {state.load()} of {view.slots}, expected {option.expected_ms:.0f} ms"
         if self._outliers.health(view.upstream) is Health.PROBING:
@@ -388,6 +399,11 @@
         run = self._running.pop((key, task), None)
         if run is not None:
             self._team_running[run.ready.team] -= 1
+            racks = self._racks.get(key)
+            if racks is not None:
+                racks[run.rack] -= 1
+                if not racks.total():
+                    del self._racks[key]
             state = self._agents.get(run.agent)
             if state is not None:
                 state.end(run.ready.resources)
--- a/snipewell/placement.py
+++ b/snipewell/placement.py
@@ -111,11 +111,15 @@
 
 @dataclass(slots=True)
 class Option:
-    """An agent that may get the task now. Times are in milliseconds."""
+    """An agent that may get the task now. Times are in milliseconds.
+
+    ``rack_share`` is the part of the job's running tasks that are on the agent's rack.
+    """
 
     state: AgentState
     expected_ms: float
     failure_rate: float = 0.0
+    rack_share: float = 0.0
 
     def finish_ms(self) -> float:
         """Return the expected time until the result is here.
@@ -135,12 +139,14 @@
 class ExpectedFinish:
     """The agent whose result is expected first, among ``sample`` random ones (0: all).
 
-    Costs within ``tolerance`` of each other are equal and chosen from at random.
+    Costs within ``tolerance`` of each other are equal and chosen from at random. ``spread`` is the
+    share of its cost that a rack is charged if it has all running tasks of the job.
     """
 
     binding: Binding = field(default_factory=Binding)
     sample: int = 16
     tolerance: float = 0.05
+    spread: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,9 +173,13 @@
     match policy:
         case Scored(score=score):
             return _lowest(options, score, rng)
-        case ExpectedFinish(tolerance=tolerance):
+        case ExpectedFinish(tolerance=tolerance, spread=spread):
             scale = 2 * tolerance
-            return _lowest(options, lambda o: o.finish_ms() * (1 + scale * rng.random()), rng)
+            return _lowest(
+                options,
+                lambda o: o.finish_ms() * (1 + scale * rng.random() + spread * o.rack_share),
+                rng,
+            )
 
 
 def _lowest(options: Sequence[Option], score: Callable[[Option], float], rng: Random) -> Option:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -177,3 +177,16 @@
     dispatcher = make_dispatcher(ManualClock(), make_view("a", slots=8))
     dispatcher.enqueue(make_tasks("wide", 3, ["a"], resources=Resources(cores=30)))
     assert len(dispatcher.next_grants()) == 2
+
+
+def test_a_job_is_spread_over_racks() -> None:
+    """Guards against a job whose tasks are all on one rack, though others are as fast."""
+    for seed in range(20):
+        dispatcher = Dispatcher(
+            ManualClock(), Random(seed), ZoneId("patan"), ExpectedFinish(), DispatchLimits()
+        )
+        for name in "abcd":
+            dispatcher.on_agent(make_view(name, slots=8, rack=RackId("r1" if name < "c" else "r2")))
+        dispatcher.enqueue(make_tasks("job", 8, list("abcd")))
+        on_first = sum(grant.agent < "c" for grant in dispatcher.next_grants())
+        assert 3 <= on_first <= 5
