Move the granted tasks out of the dispatcher

Change: granted.py keeps the tasks whose end has not been reported, with their counts by team and rack. No rule changes. Result: make check and the tests of dispatch, admission, entry and the simulation pass.

--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -24,10 +23,10 @@
 from .clock import Clock
 from .effect import Submission, TaskReady
 from .estimate import EstimateLimits, Estimator
+from .granted import Granted, GrantedTasks
 from .ids import (
     AgentId,
     Incarnation,
-    RackId,
     ScopedKey,
     ServiceName,
     TaskIndex,
@@ -44,7 +43,6 @@
 
 _ASSESS_EVERY_MS = 100.0
 _OVERDUE_FACTOR = 4.0
-_LOST_AFTER_MS = 5_000.0
 _MAX_RETURNED = 10_000
 _ANY_WORKER = Resources(float("inf"), 2**62, 2**62)
 
@@ -81,17 +79,6 @@
     reason: str
 
 
-@dataclass(slots=True)
-class _Running:
-    ready: TaskReady
-    agent: AgentId
-    arrived_ms: float
-    rack: RackId
-    charged_ms: float
-    granted_ms: float
-    overdue_ms: float
-
-
 class Dispatcher:
     """Decides for one entry, on its own views and estimates."""
 
@@ -108,10 +95,8 @@
         self._outliers = OutlierDetector(rng, limits.outlier)
         self._agents: dict[AgentId, AgentState] = {}
         self._eligible: dict[PlacementClass, list[AgentState]] = {}
-        self._running: dict[tuple[ScopedKey, TaskIndex], _Running] = {}
+        self._granted = GrantedTasks()
         self._returned: dict[tuple[ScopedKey, TaskIndex], float] = {}
-        self._team_running: dict[TeamName, int] = {}
-        self._racks: dict[ScopedKey, Counter[RackId]] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
@@ -165,7 +150,7 @@
             return
         self._eligible.clear()
         self._outliers.remove(gone.view.upstream)
-        for place in [place for place, run in self._running.items() if run.agent == agent]:
+        for place in self._granted.on_agent(agent):
             self._end(*place)
 
     def enqueue(self, tasks: list[TaskReady]) -> None:
@@ -244,11 +229,9 @@
             if batch is None:
                 break
             options = self._options(batch.placement, now)
-            racks = self._racks.get(batch.key)
-            if racks:
-                running = racks.total()
-                for choice in options:
-                    choice.rack_share = racks[choice.state.view.rack] / running
+            shares = self._granted.rack_shares(batch.key)
+            for choice in options if shares else ():
+                choice.rack_share = shares.get(choice.state.view.rack, 0.0)
             option = choose(self._policy, options, self._rng)
             if option is None:
                 blocked.add(batch.placement)
@@ -286,7 +269,7 @@
 
     def running(self) -> int:
         """Return how many granted tasks have not ended."""
-        return len(self._running)
+        return len(self._granted)
 
     def ejected(self) -> list[UpstreamId]:
         """Return the upstreams that this entry has ejected or is probing."""
@@ -346,19 +329,18 @@
         self._grants += 1
         state.begin(task.resources, self._grants, now_ms)
         overdue_ms = _OVERDUE_FACTOR * max(option.expected_ms, batch.expected_ms)
-        self._running[task.key, task.task] = _Running(
-            task, view.agent, batch.arrived_ms, view.rack, batch.expected_ms, now_ms, overdue_ms
+        self._granted.add(
+            Granted(
+                task, view.agent, view.rack, batch.arrived_ms, batch.expected_ms, now_ms, overdue_ms
+            )
         )
-        if task.job_size > 1:
-            self._racks.setdefault(task.key, Counter())[view.rack] += 1
-        self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
         reason = f"load {state.load()} of {view.slots}, expected {option.expected_ms:.0f} ms"
         if self._outliers.health(view.upstream) is Health.PROBING:
             self._outliers.on_probe(view.upstream, now_ms)
             reason = "probe"
         return Grant(task.key, task.task, view.agent, view.incarnation, reason)
 
-    def _correct(self, run: _Running, actual_ms: float) -> None:
+    def _correct(self, run: Granted, actual_ms: float) -> None:
         self._backlog.correct(run.ready.team, run.ready.job_size, run.charged_ms, actual_ms)
 
     def _assess(self, now_ms: float) -> None:
@@ -368,16 +350,9 @@
         task whose end was never reported frees its slot some time after its deadline.
         """
         self._assessed_ms = now_ms
-        overdue: dict[AgentId, list[_Running]] = {}
-        lost = []
-        for place, run in self._running.items():
-            if now_ms >= run.ready.deadline_at_ms + _LOST_AFTER_MS:
-                lost.append(place)
-            elif now_ms - run.granted_ms >= run.overdue_ms:
-                overdue.setdefault(run.agent, []).append(run)
-        for place in lost:
+        for place in self._granted.find_lost(now_ms):
             self._end(*place)
-        for agent, runs in overdue.items():
+        for agent, runs in self._granted.find_overdue(now_ms).items():
             state = self._agents.get(agent)
             if state is None or len(runs) < max(2, state.own / 2):
                 continue
@@ -395,15 +370,9 @@
         rate = self._slots() / self._homes
         self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
-    def _end(self, key: ScopedKey, task: TaskIndex) -> _Running | None:
-        run = self._running.pop((key, task), None)
+    def _end(self, key: ScopedKey, task: TaskIndex) -> Granted | None:
+        run = self._granted.end(key, task)
         if run is not None:
-            self._team_running[run.ready.team] -= 1
-            racks = self._racks.get(key)
-            if racks is not None:
-                racks[run.rack] -= 1
-                if not racks.total():
-                    del self._racks[key]
             state = self._agents.get(run.agent)
             if state is not None:
                 state.end(run.ready.resources)
@@ -416,12 +385,12 @@
         run_ms = self._estimator.expect_service_ms(submission.service)
         count = len(submission.tasks)
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
-        rate = max(1.0, len(self._running), self._slots() / self._homes)
+        rate = max(1.0, len(self._granted), self._slots() / self._homes)
         if self._backlog.size_of(count) is Size.BULK:
             rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
             self._backlog.waiting,
-            self._backlog.waiting_of(submission.team) + self._team_running.get(submission.team, 0),
+            self._backlog.waiting_of(submission.team) + self._granted.count_of(submission.team),
             max(0.0, work_ms - run_ms) / rate,
             run_ms,
         )
