--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -11,11 +11,19 @@
 from random import Random
 from statistics import median
 
-from .admission import AdmissionLimits, ArrivalRate, Demand, find_impossible, find_refusal
+from .admission import (
+    AdmissionLimits,
+    ArrivalRate,
+    Demand,
+    find_impossible,
+    find_refusal,
+    is_allowed,
+)
 from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
 from .estimate import EstimateLimits, Estimator
+from .granted import Granted, GrantedTasks
 from .ids import (
     AgentId,
     Incarnation,
@@ -26,7 +34,7 @@
     UpstreamId,
     ZoneId,
 )
-from .message import Candidate, Load, RefusalReason, TaskState
+from .message import Candidate, Load, RefusalReason, Resources, TaskState
 from .outcome import Impossible, NotRun
 from .outlier import Health, OutlierDetector, OutlierLimits
 from .placement import ZONE_DISTANCE_MS, AgentState, Option, Policy, choose
@@ -35,6 +43,8 @@
 
 _ASSESS_EVERY_MS = 100.0
 _OVERDUE_FACTOR = 4.0
+_MAX_RETURNED = 10_000
+_ANY_WORKER = Resources(float("inf"), 2**62, 2**62)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,16 +79,6 @@
     reason: str
 
 
-@dataclass(slots=True)
-class _Running:
-    ready: TaskReady
-    agent: AgentId
-    arrived_ms: float
-    charged_ms: float
-    granted_ms: float
-    overdue_ms: float
-
-
 class Dispatcher:
     """Decides for one entry, on its own views and estimates."""
 
@@ -95,12 +95,12 @@
         self._outliers = OutlierDetector(rng, limits.outlier)
         self._agents: dict[AgentId, AgentState] = {}
         self._eligible: dict[PlacementClass, list[AgentState]] = {}
-        self._running: dict[tuple[ScopedKey, TaskIndex], _Running] = {}
+        self._granted = GrantedTasks()
         self._returned: dict[tuple[ScopedKey, TaskIndex], float] = {}
-        self._team_running: dict[TeamName, int] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
+        self._workers: dict[Resources, float] = {}
         self._homes = 1
         self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
@@ -137,9 +137,10 @@
             state = self._agents[view.agent] = AgentState(view, distance_ms)
             self._outliers.add(view.upstream)
             self._eligible.clear()
-        elif _placement_part(state.view) != _placement_part(view):
+        elif state.view.traits() != view.traits():
             self._eligible.clear()
         state.view = view
+        self._workers[view.worker] = self._clock.now_ms()
         state.report(view.load, self._clock.now_ms())
 
     def on_agent_gone(self, agent: AgentId) -> None:
@@ -149,7 +150,7 @@
             return
         self._eligible.clear()
         self._outliers.remove(gone.view.upstream)
-        for place in [place for place, run in self._running.items() if run.agent == agent]:
+        for place in self._granted.on_agent(agent):
             self._end(*place)
 
     def enqueue(self, tasks: list[TaskReady]) -> None:
@@ -204,6 +205,8 @@
         run = self._end(key, task)
         if run is not None:
             self._correct(run, 0.0)
+            if len(self._returned) >= _MAX_RETURNED:
+                self._returned.clear()
             self._returned[key, task] = run.arrived_ms
         self.on_started(agent, load)
 
@@ -226,6 +229,9 @@
             if batch is None:
                 break
             options = self._options(batch.placement, now)
+            shares = self._granted.rack_shares(batch.key)
+            for choice in options if shares else ():
+                choice.rack_share = shares.get(choice.state.view.rack, 0.0)
             option = choose(self._policy, options, self._rng)
             if option is None:
                 blocked.add(batch.placement)
@@ -236,25 +242,23 @@
     def admit(self, submission: Submission) -> NotRun | Impossible | None:
         """Return why ``submission`` must be refused now, or None if it may be held and run."""
         now = self._clock.now_ms()
-        views = [state.view for state in self._agents.values()]
-        settled = now - self._started_ms >= self._limits.admission.settle_ms
+        limits = self._limits.admission
         service = self._services.get(submission.service)
-        impossible = find_impossible(submission, service, self._zones, views, settled)
+        workers = [w for w, seen in self._workers.items() if now - seen < limits.remember_ms]
+        if not workers or now - self._started_ms < limits.settle_ms:
+            workers.append(_ANY_WORKER)
+        impossible = find_impossible(submission, service, self._zones, workers)
         if impossible is not None:
             return impossible
         team = self._teams.get(submission.team, TeamSpec(submission.team))
-        return find_refusal(
-            submission, team, self._demand(submission), self._limits.admission, now, self._rng
-        )
+        demand = self._demand(submission)
+        return find_refusal(submission, team, demand, limits, now, self._rng)
 
     def candidates(self, submission: Submission) -> list[Candidate]:
         """Return the agents that may get tasks of ``submission``, at most ``max_candidates``."""
         service = self._services.get(submission.service)
-        fitting = [
-            state.view
-            for state in self._agents.values()
-            if _is_allowed(state.view, submission, service)
-        ]
+        views = [state.view for state in self._agents.values()]
+        fitting = [view for view in views if is_allowed(view, submission, service)]
         if len(fitting) > self._limits.max_candidates:
             fitting = self._rng.sample(fitting, self._limits.max_candidates)
         return [Candidate(view.agent, view.incarnation) for view in fitting]
@@ -265,7 +269,7 @@
 
     def running(self) -> int:
         """Return how many granted tasks have not ended."""
-        return len(self._running)
+        return len(self._granted)
 
     def ejected(self) -> list[UpstreamId]:
         """Return the upstreams that this entry has ejected or is probing."""
@@ -302,21 +306,20 @@
         ]
 
     def _is_probe_due(self, state: AgentState, placement: PlacementClass, now_ms: float) -> bool:
-        """Return whether to probe with this task: a single request, so that no job is lost."""
-        return placement.size is Size.SINGLE and self._outliers.may_probe(
-            state.view.upstream, state.own, now_ms
-        )
+        """Return whether to probe with this task."""
+        single = placement.size is Size.SINGLE
+        return self._outliers.may_probe(state.view.upstream, state.own, now_ms, single)
 
     def _find_eligible(self, placement: PlacementClass) -> list[AgentState]:
         eligible = self._eligible.get(placement)
         if eligible is None:
             if len(self._eligible) >= self._limits.max_classes:
                 self._eligible.clear()
-            eligible = self._eligible[placement] = [
-                self._agents[agent]
-                for agent in sorted(placement.candidates - placement.excluded)
-                if agent in self._agents and _is_placeable(self._agents[agent].view, placement)
-            ]
+            names = sorted(placement.candidates - placement.excluded)
+            states = [self._agents[name] for name in names if name in self._agents]
+            service, resources = placement.service, placement.resources
+            eligible = [state for state in states if state.view.can_take(service, resources)]
+            self._eligible[placement] = eligible
         return eligible
 
     def _grant(self, batch: Batch, option: Option, now_ms: float) -> Grant:
@@ -326,30 +329,30 @@
         self._grants += 1
         state.begin(task.resources, self._grants, now_ms)
         overdue_ms = _OVERDUE_FACTOR * max(option.expected_ms, batch.expected_ms)
-        self._running[task.key, task.task] = _Running(
-            task, view.agent, batch.arrived_ms, batch.expected_ms, now_ms, overdue_ms
+        self._granted.add(
+            Granted(
+                task, view.agent, view.rack, batch.arrived_ms, batch.expected_ms, now_ms, overdue_ms
+            )
         )
-        self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
         reason = f"load {state.load()} of {view.slots}, expected {option.expected_ms:.0f} ms"
         if self._outliers.health(view.upstream) is Health.PROBING:
             self._outliers.on_probe(view.upstream, now_ms)
             reason = "probe"
         return Grant(task.key, task.task, view.agent, view.incarnation, reason)
 
-    def _correct(self, run: _Running, actual_ms: float) -> None:
+    def _correct(self, run: Granted, actual_ms: float) -> None:
         self._backlog.correct(run.ready.team, run.ready.job_size, run.charged_ms, actual_ms)
 
     def _assess(self, now_ms: float) -> None:
         """Learn from tasks that are overdue, and eject or probe upstreams.
 
-        A few tasks take long anywhere; only if half of an agent's tasks are overdue is it slow.
+        A few tasks take long anywhere; only if half of an agent's tasks are overdue is it slow. A
+        task whose end was never reported frees its slot some time after its deadline.
         """
         self._assessed_ms = now_ms
-        overdue: dict[AgentId, list[_Running]] = {}
-        for run in self._running.values():
-            if now_ms - run.granted_ms >= run.overdue_ms:
-                overdue.setdefault(run.agent, []).append(run)
-        for agent, runs in overdue.items():
+        for place in self._granted.find_lost(now_ms):
+            self._end(*place)
+        for agent, runs in self._granted.find_overdue(now_ms).items():
             state = self._agents.get(agent)
             if state is None or len(runs) < max(2, state.own / 2):
                 continue
@@ -367,10 +370,9 @@
         rate = self._slots() / self._homes
         self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
-    def _end(self, key: ScopedKey, task: TaskIndex) -> _Running | None:
-        run = self._running.pop((key, task), None)
+    def _end(self, key: ScopedKey, task: TaskIndex) -> Granted | None:
+        run = self._granted.end(key, task)
         if run is not None:
-            self._team_running[run.ready.team] -= 1
             state = self._agents.get(run.agent)
             if state is not None:
                 state.end(run.ready.resources)
@@ -383,37 +385,12 @@
         run_ms = self._estimator.expect_service_ms(submission.service)
         count = len(submission.tasks)
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
-        rate = max(1.0, len(self._running), self._slots() / self._homes)
+        rate = max(1.0, len(self._granted), self._slots() / self._homes)
         if self._backlog.size_of(count) is Size.BULK:
             rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
             self._backlog.waiting,
-            self._backlog.waiting_of(submission.team) + self._team_running.get(submission.team, 0),
+            self._backlog.waiting_of(submission.team) + self._granted.count_of(submission.team),
             max(0.0, work_ms - run_ms) / rate,
             run_ms,
         )
-
-
-def _is_allowed(view: AgentView, submission: Submission, service: ServiceSpec | None) -> bool:
-    if view.draining or not view.in_service or not view.offers(submission.service):
-        return False
-    if service is not None:
-        if service.zones and view.zone not in service.zones:
-            return False
-        if service.upstreams and view.upstream not in service.upstreams:
-            return False
-    return view.has_room_for(submission.resources)
-
-
-def _placement_part(view: AgentView) -> tuple[object, ...]:
-    """Return the part of a view that decides where an agent may be used."""
-    return view.draining, view.in_service, view.services, view.worker, view.upstream
-
-
-def _is_placeable(view: AgentView, placement: PlacementClass) -> bool:
-    return (
-        not view.draining
-        and view.in_service
-        and view.offers(placement.service)
-        and view.has_room_for(placement.resources)
-    )
--- a/snipewell/register.py
+++ b/snipewell/register.py
@@ -6,7 +6,7 @@
 
 from .effect import Effect, Reply, SendAgent, SendEntry, Submission, Withdraw
 from .holder import record_size
-from .ids import EntryId, Partition, RequestId, ScopedKey, Ticket
+from .ids import EntryId, Partition, RequestId, ScopedKey
 from .limits import majority
 from .message import (
     Candidate,
@@ -21,6 +21,7 @@
 )
 from .outcome import Complete, Conflict, Impossible, NotRun, Outcome, Step, Unknown
 from .partition import PartitionEntry
+from .proof import is_proved_new
 from .replication import Replication
 from .runtable import HomeContext
 from .submission import Run, RunState
@@ -94,20 +95,10 @@
         return [Reply(submission.request, submission.key, outcome)]
 
     def _is_new(self, key: ScopedKey) -> bool:
-        """Return whether a key without a record has provably never run."""
-        limits, clock = self._context.limits, self._context.clock
-        if not self._context.protections.coverage:
-            return True
-        ticket = Ticket.parse(key.partition("/")[2])
-        if ticket is not None:
-            age_ms = clock.wall_ms() - ticket.issued_ms
-            issued = self.assigned.coverage_epoch <= ticket.epoch <= self.assigned.epoch
-            margin_ms = limits.ticket_margin_ms
-            return issued and -margin_ms <= age_ms < limits.window_ms - margin_ms
-        if self.assigned.coverage_epoch == 0:
-            return True
-        covered_ms = clock.now_ms() - self._covered_since_ms
-        return covered_ms > limits.window_ms + limits.max_deadline_ms
+        context = self._context
+        return not context.protections.coverage or is_proved_new(
+            key, self.assigned, self._covered_since_ms, context.clock, context.limits
+        )
 
     def _may_restart(self, run: Run) -> bool:
         now_ms = self._context.clock.now_ms()
@@ -139,7 +130,7 @@
         self.keys[run.key] = None
         self.busy.add(run.key)
         self.replication.change(run.key, run.version)
-        self._arm(run)
+        self.arm(run)
         return self._send_hold(run) + self._advance(run)
 
     def _send_hold(self, run: Run) -> list[Effect]:
@@ -162,7 +153,9 @@
         if required and not self.replication.is_held(run.key):
             return []
         if run.state is RunState.HOLDING:
-            return run.activate()
+            effects = run.activate()
+            self.arm(run)
+            return effects
         assert run.outcome is not None
         now_ms, limits = self._context.clock.now_ms(), self._context.limits
         if now_ms > run.ended_at_ms + limits.refusal_slack_ms:
@@ -214,6 +207,7 @@
         run.candidates = [*run.candidates, *run.pending_candidates]
         run.pending_candidates = []
         run.state = RunState.HOLDING
+        run.open_slots()
         run.epoch = self.assigned.epoch
         run.version += 1
         self.busy.add(run.key)
@@ -242,13 +236,18 @@
             run.version += 1
             run.epoch = self.assigned.epoch
             self.replication.change(run.key, run.version)
-        self._arm(run)
+        self.arm(run)
         return []
 
-    def _arm(self, run: Run) -> None:
+    def arm(self, run: Run) -> None:
+        """Set the timer of ``run`` to its next query, its deadline, or the end of its window."""
         now_ms, limits = self._context.clock.now_ms(), self._context.limits
         if run.state is not RunState.ENDED:
-            at_ms = min(now_ms + limits.query_interval_ms, run.deadline_at_ms)
+            at_ms = run.deadline_at_ms
+            if run.state is RunState.REFUSING:
+                at_ms = run.ended_at_ms + limits.refusal_slack_ms + 1
+            elif run.has_grants():
+                at_ms = min(at_ms, now_ms + limits.query_interval_ms)
             at_ms = max(at_ms, now_ms + 1)
         elif run.producers:
             at_ms = run.ended_at_ms + limits.forget_after_ms
@@ -266,13 +265,13 @@
                 return []
             effects = [SendAgent(a, Forget([run.key])) for a in sorted(run.producers)]
             run.producers = frozenset()
-        elif now_ms >= run.deadline_at_ms:
+        elif now_ms >= run.deadline_at_ms or run.state is RunState.REFUSING:
             effects = self._expire(run, now_ms)
         else:
             regrant = not self._context.protections.one_grant
             after_ms = limits.query_after_ms
             effects = run.check(now_ms, self.assigned.epoch, after_ms, regrant)
-        self._arm(run)
+        self.arm(run)
         return effects
 
     def _drop(self, key: ScopedKey) -> None:
@@ -382,7 +381,7 @@
         if run.state is not RunState.ENDED:
             self.busy.add(run.key)
         self.replication.change(run.key, run.version)
-        self._arm(run)
+        self.arm(run)
         return run
 
     def is_open(self, key: ScopedKey) -> bool:
