--- a/snipewell/agentd.py
+++ b/snipewell/agentd.py
@@ -90,7 +90,7 @@
         self.agent = Agent(_info_of(settings), SystemClock(), _limits_of(settings))
         self.cut = 0
         """Calls that were cut at shutdown."""
-        self._settings = settings
+        self.settings = settings
         self._log = log or Log()
         self._clock = SystemClock()
         self._upstream = HttpPool(
@@ -133,7 +133,7 @@
     async def _drain(self) -> None:
         """Let running calls end within the limit, cut the rest, and settle with the entries."""
         self._log.info("agent", "draining", running=len(self.agent.ledger.running))
-        limit_ms = self._clock.now_ms() + self._settings.drain_limit_ms
+        limit_ms = self._clock.now_ms() + self.settings.drain_limit_ms
         await self._apply(self.agent.drain())
         while self.agent.ledger.running and self._stops < 2 and self._clock.now_ms() < limit_ms:
             await self._tick()
@@ -164,11 +164,11 @@
             except (SnipewellError, msgspec.MsgspecError) as error:
                 # The balancer may be away for long; the known entries stay in use.
                 self._log.debug("agent", "no list of entries", reason=str(error))
-            await curio.sleep(self._settings.entries_interval_ms / 1000)
+            await curio.sleep(self.settings.entries_interval_ms / 1000)
 
     async def _refresh(self) -> None:
         response = await fetch(
-            self._settings.balancer, Request("GET", "/v1/entries"), _FETCH_TIMEOUT_MS
+            self.settings.balancer, Request("GET", "/v1/entries"), _FETCH_TIMEOUT_MS
         )
         if response.status != 200:
             return
