Let held keys start as soon as the holders in force have them

A key that waited for a holder started only with the next acknowledgement, so it waited until its deadline when the table had meanwhile dropped that holder.

--- a/snipewell/register.py
+++ b/snipewell/register.py
@@ -302,6 +302,15 @@
         unknown = Unknown(step, peer, "the deadline passed", run.granted, limits.retry_after_ms)
         return run.end(unknown, now_ms) + self.settle(run)
 
+    def advance_held(self) -> list[Effect]:
+        """Go on with the runs that the holders now in force already have."""
+        effects: list[Effect] = []
+        for key in sorted(self.busy):
+            run = self._context.runs.get(key)
+            if run is not None:
+                effects += self._advance(run)
+        return effects
+
     def on_acknowledged(self, message: Held | Copied) -> list[Effect]:
         """Go on with the runs whose records a holder has now."""
         keys = set(message.keys) if isinstance(message, Held) else None
--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -172,7 +172,10 @@
             self._resend_at_ms = 0.0
             self._fetching.assign(assigned)
             self._follow()
-        return self._drain_queue() if self.is_granting() else []
+        if not self.is_granting():
+            return []
+        advanced = self.register.advance_held() if changed else []
+        return advanced + self._drain_queue()
 
     def on_live(self, live: Collection[EntryId]) -> None:
         """Send records to the holders among ``live`` and no longer to those that are gone."""
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -414,6 +414,17 @@
     assert cluster.grant()
 
 
+def test_key_waits_for_its_holder_only_until_that_is_replaced() -> None:
+    """Guards against callers that wait until the deadline for a holder that is known to be gone."""
+    cluster = Cluster(2)
+    (other,) = set(cluster.homes) - {cluster.home}
+    cluster.silent = {other}
+    cluster.submit("r1")
+    assert cluster.grant() == 0
+    cluster.lose(other)
+    assert cluster.grant() == 1
+
+
 def test_work_at_the_bound_is_refused_as_not_run() -> None:
     """Guards against records that are dropped early, or memory without bound, under a burst."""
     cluster = Cluster(1, max_records=1, max_refusals=1)
