Keep what follows from agents' traits until a trait changes

Cause: candidates looked at every agent for every submission, and with many agents each submission became a placement class of its own. Change: fleet.py keeps eligible agents, slots and a sample of candidates for a second.

--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -17,12 +17,12 @@
     Demand,
     find_impossible,
     find_refusal,
-    is_allowed,
 )
 from .backlog import Backlog, Batch, PlacementClass, Size
 from .clock import Clock
 from .effect import Submission, TaskReady
 from .estimate import EstimateLimits, Estimator
+from .fleet import Fleet
 from .granted import Granted, GrantedTasks
 from .ids import (
     AgentId,
@@ -37,11 +37,13 @@
 from .message import Candidate, Load, RefusalReason, Resources, TaskState
 from .outcome import Impossible, NotRun
 from .outlier import Health, OutlierDetector, OutlierLimits
-from .placement import ZONE_DISTANCE_MS, AgentState, Option, Policy, choose
+from .placement import AgentState, Option, Policy, choose
 from .resource import ConfigurationSpec, ServiceSpec, TeamSpec
 from .view import AgentView
 
 _ASSESS_EVERY_MS = 100.0
+# An assessment takes time in proportion to the agents, so a large fleet is assessed less often.
+_ASSESS_AGENT_MS = 0.2
 _OVERDUE_FACTOR = 4.0
 _MAX_RETURNED = 10_000
 _ANY_WORKER = Resources(float("inf"), 2**62, 2**62)
@@ -87,20 +89,17 @@
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._zone = zone
         self._policy = policy
         self._limits = limits
         self._backlog = Backlog(limits.ageing, limits.bulk_tasks)
         self._estimator = Estimator(limits.estimate)
         self._outliers = OutlierDetector(rng, limits.outlier)
-        self._agents: dict[AgentId, AgentState] = {}
-        self._eligible: dict[PlacementClass, list[AgentState]] = {}
+        self._fleet = Fleet(zone, rng, limits.max_classes, limits.max_candidates)
         self._granted = GrantedTasks()
         self._returned: dict[tuple[ScopedKey, TaskIndex], float] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._teams: dict[TeamName, TeamSpec] = {}
         self._zones: frozenset[ZoneId] = frozenset()
-        self._workers: dict[Resources, float] = {}
         self._homes = 1
         self._short_work = ArrivalRate(limits.admission.rate_window_ms, clock.now_ms())
         self._grants = 0
@@ -123,6 +122,7 @@
             self._backlog.set_weight(spec.name, spec.weight)
         self._estimator.declare({n: spec.expected_ms for n, spec in self._services.items()})
         self._outliers.set_eject_share(settings.eject_share)
+        self._fleet.forget_derived()
 
     def on_homes(self, homes: int) -> None:
         """Set how many entries place tasks on the same agents, this one included."""
@@ -130,25 +130,17 @@
 
     def on_agent(self, view: AgentView) -> None:
         """Take in a new view of an agent, for instance after each heartbeat."""
-        state = self._agents.get(view.agent)
-        if state is None or state.view.incarnation != view.incarnation:
+        state = self._fleet.get(view.agent)
+        if state is not None and state.view.incarnation != view.incarnation:
             self.on_agent_gone(view.agent)
-            distance_ms = 0.0 if view.zone == self._zone else ZONE_DISTANCE_MS
-            state = self._agents[view.agent] = AgentState(view, distance_ms)
-            self._outliers.add(view.upstream)
-            self._eligible.clear()
-        elif state.view.traits() != view.traits():
-            self._eligible.clear()
-        state.view = view
-        self._workers[view.worker] = self._clock.now_ms()
-        state.report(view.load, self._clock.now_ms())
+        self._fleet.update(view, self._clock.now_ms())
+        self._outliers.add(view.upstream)
 
     def on_agent_gone(self, agent: AgentId) -> None:
         """Forget an agent and the tasks granted to it; their home decides what becomes of them."""
-        gone = self._agents.pop(agent, None)
+        gone = self._fleet.remove(agent)
         if gone is None:
             return
-        self._eligible.clear()
         self._outliers.remove(gone.view.upstream)
         for place in self._granted.on_agent(agent):
             self._end(*place)
@@ -169,7 +161,7 @@
 
     def on_started(self, agent: AgentId, load: Load) -> None:
         """Take in a load that an agent reported without ending a task."""
-        state = self._agents.get(agent)
+        state = self._fleet.get(agent)
         if state is not None:
             state.report(load, self._clock.now_ms())
 
@@ -185,7 +177,7 @@
         """Take in the end of a task; ``elapsed_ms`` is the upstream's time by the agent's clock."""
         now = self._clock.now_ms()
         run = self._end(key, task)
-        holder = self._agents.get(agent)
+        holder = self._fleet.get(agent)
         if holder is None:
             return
         holder.report(load, now)
@@ -220,7 +212,7 @@
     def next_grants(self) -> list[Grant]:
         """Return the grants to make now, in the order in which they should be sent."""
         now = self._clock.now_ms()
-        if now - self._assessed_ms >= _ASSESS_EVERY_MS:
+        if now - self._assessed_ms >= max(_ASSESS_EVERY_MS, _ASSESS_AGENT_MS * len(self._fleet)):
             self._assess(now)
         grants: list[Grant] = []
         blocked: set[PlacementClass] = set()
@@ -244,7 +236,7 @@
         now = self._clock.now_ms()
         limits = self._limits.admission
         service = self._services.get(submission.service)
-        workers = [w for w, seen in self._workers.items() if now - seen < limits.remember_ms]
+        workers = self._fleet.workers(now - limits.remember_ms)
         if not workers or now - self._started_ms < limits.settle_ms:
             workers.append(_ANY_WORKER)
         impossible = find_impossible(submission, service, self._zones, workers)
@@ -257,11 +249,7 @@
     def candidates(self, submission: Submission) -> list[Candidate]:
         """Return the agents that may get tasks of ``submission``, at most ``max_candidates``."""
         service = self._services.get(submission.service)
-        views = [state.view for state in self._agents.values()]
-        fitting = [view for view in views if is_allowed(view, submission, service)]
-        if len(fitting) > self._limits.max_candidates:
-            fitting = self._rng.sample(fitting, self._limits.max_candidates)
-        return [Candidate(view.agent, view.incarnation) for view in fitting]
+        return self._fleet.candidates(submission, service, self._clock.now_ms())
 
     def waiting(self) -> int:
         """Return how many tasks wait."""
@@ -277,7 +265,7 @@
 
     def _options(self, placement: PlacementClass, now_ms: float) -> list[Option]:
         """Return the agents that may get a task of ``placement`` now, or one due for a probe."""
-        eligible = self._find_eligible(placement)
+        eligible = self._fleet.find_eligible(placement)
         policy = self._policy
         if policy.sample and len(eligible) > policy.sample:
             eligible = self._rng.sample(eligible, policy.sample)
@@ -310,18 +298,6 @@
         single = placement.size is Size.SINGLE
         return self._outliers.may_probe(state.view.upstream, state.own, now_ms, single)
 
-    def _find_eligible(self, placement: PlacementClass) -> list[AgentState]:
-        eligible = self._eligible.get(placement)
-        if eligible is None:
-            if len(self._eligible) >= self._limits.max_classes:
-                self._eligible.clear()
-            names = sorted(placement.candidates - placement.excluded)
-            states = [self._agents[name] for name in names if name in self._agents]
-            service, resources = placement.service, placement.resources
-            eligible = [state for state in states if state.view.can_take(service, resources)]
-            self._eligible[placement] = eligible
-        return eligible
-
     def _grant(self, batch: Batch, option: Option, now_ms: float) -> Grant:
         expected_ms = self._estimator.expect_service_ms(batch.placement.service)
         task = self._backlog.take(batch, expected_ms)
@@ -353,7 +329,7 @@
         for place in self._granted.find_lost(now_ms):
             self._end(*place)
         for agent, runs in self._granted.find_overdue(now_ms).items():
-            state = self._agents.get(agent)
+            state = self._fleet.get(agent)
             if state is None or len(runs) < max(2, state.own / 2):
                 continue
             for run in runs:
@@ -361,31 +337,28 @@
                 self._estimator.learn_overdue(
                     run.ready.service, state.view.upstream, now_ms - run.granted_ms, now_ms
                 )
-        upstreams = {state.view.upstream for state in self._agents.values()}
+        upstreams = {state.view.upstream for state in self._fleet}
         factors = {name: self._estimator.factor(name, now_ms) for name in upstreams}
         self._outliers.tick(factors, now_ms)
         middle = median(factor for factor, _ in factors.values()) if factors else 0.0
-        for state in self._agents.values():
+        for state in self._fleet:
             state.is_fast = factors[state.view.upstream][0] < middle
-        rate = self._slots() / self._homes
+        rate = self._fleet.slots() / self._homes
         self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
     def _end(self, key: ScopedKey, task: TaskIndex) -> Granted | None:
         run = self._granted.end(key, task)
         if run is not None:
-            state = self._agents.get(run.agent)
+            state = self._fleet.get(run.agent)
             if state is not None:
                 state.end(run.ready.resources)
         return run
 
-    def _slots(self) -> int:
-        return sum(state.view.slots for state in self._agents.values() if state.view.in_service)
-
     def _demand(self, submission: Submission) -> Demand:
         run_ms = self._estimator.expect_service_ms(submission.service)
         count = len(submission.tasks)
         work_ms = self._backlog.work_before_ms(submission.team, count, run_ms * count)
-        rate = max(1.0, len(self._granted), self._slots() / self._homes)
+        rate = max(1.0, len(self._granted), self._fleet.slots() / self._homes)
         if self._backlog.size_of(count) is Size.BULK:
             rate = max(0.2 * rate, rate - self._short_work.rate(self._clock.now_ms()))
         return Demand(
--- /dev/null
+++ b/snipewell/fleet.py
@@ -0,0 +1,117 @@
+"""The agents as one entry knows them, and which of them may run what."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from random import Random
+
+from .admission import is_allowed
+from .backlog import PlacementClass
+from .effect import Submission
+from .ids import AgentId, ServiceName, ZoneId
+from .message import Candidate, Resources
+from .placement import ZONE_DISTANCE_MS, AgentState
+from .resource import ServiceSpec
+from .view import AgentView
+
+_SAMPLE_AGE_MS = 1_000.0
+_MAX_SAMPLES = 1_024
+
+
+class Fleet:
+    """Agents with this entry's work on them.
+
+    What follows from the agents' traits is kept until a trait changes: a fleet has thousands of
+    agents, whose heartbeats seldom change more than the load. ``max_classes`` bounds the placement
+    classes kept, ``max_candidates`` the agents named for one submission.
+    """
+
+    def __init__(self, zone: ZoneId, rng: Random, max_classes: int, max_candidates: int) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._max_classes = max_classes
+        self._max_candidates = max_candidates
+        self._agents: dict[AgentId, AgentState] = {}
+        self._eligible: dict[PlacementClass, list[AgentState]] = {}
+        self._samples: dict[tuple[ServiceName, Resources], tuple[float, list[Candidate]]] = {}
+        self._workers: dict[Resources, float] = {}
+        self._slots: int | None = None
+
+    def __len__(self) -> int:
+        return len(self._agents)
+
+    def __iter__(self) -> Iterator[AgentState]:
+        return iter(self._agents.values())
+
+    def get(self, agent: AgentId) -> AgentState | None:
+        """Return the state of ``agent``, or None if it is not known."""
+        return self._agents.get(agent)
+
+    def update(self, view: AgentView, now_ms: float) -> None:
+        """Take in a view; an agent that was not known starts without work."""
+        self._workers[view.worker] = now_ms
+        state = self._agents.get(view.agent)
+        if state is None:
+            distance_ms = 0.0 if view.zone == self._zone else ZONE_DISTANCE_MS
+            state = self._agents[view.agent] = AgentState(view, distance_ms)
+            self.forget_derived()
+        elif state.view.traits() != view.traits():
+            self.forget_derived()
+        state.view = view
+        state.report(view.load, now_ms)
+
+    def remove(self, agent: AgentId) -> AgentState | None:
+        """Forget ``agent`` and return its last state, or None if it was not known."""
+        state = self._agents.pop(agent, None)
+        if state is not None:
+            self.forget_derived()
+        return state
+
+    def forget_derived(self) -> None:
+        """Forget what follows from traits or from the rules of services, after a change."""
+        self._eligible.clear()
+        self._samples.clear()
+        self._slots = None
+
+    def slots(self) -> int:
+        """Return the slots of the agents in service."""
+        if self._slots is None:
+            self._slots = sum(state.view.slots for state in self if state.view.in_service)
+        return self._slots
+
+    def workers(self, since_ms: float) -> list[Resources]:
+        """Return the distinct sizes of workers heard from since ``since_ms``."""
+        return [worker for worker, seen_ms in self._workers.items() if seen_ms > since_ms]
+
+    def find_eligible(self, placement: PlacementClass) -> list[AgentState]:
+        """Return the agents that tasks of ``placement`` may go to when they have a free slot."""
+        eligible = self._eligible.get(placement)
+        if eligible is None:
+            if len(self._eligible) >= self._max_classes:
+                self._eligible.clear()
+            names = sorted(placement.candidates - placement.excluded)
+            states = [self._agents[name] for name in names if name in self._agents]
+            service, resources = placement.service, placement.resources
+            eligible = [state for state in states if state.view.can_take(service, resources)]
+            self._eligible[placement] = eligible
+        return eligible
+
+    def candidates(
+        self, submission: Submission, service: ServiceSpec | None, now_ms: float
+    ) -> list[Candidate]:
+        """Return agents that may get tasks of ``submission``, a random sample if they are many.
+
+        Submissions of a service share one sample for a second, so that their tasks are of one
+        placement class.
+        """
+        what = submission.service, submission.resources
+        sample = self._samples.get(what)
+        if sample is None or now_ms - sample[0] >= _SAMPLE_AGE_MS:
+            views = [state.view for state in self if is_allowed(state.view, submission, service)]
+            if len(views) > self._max_candidates:
+                views = self._rng.sample(views, self._max_candidates)
+            if len(self._samples) >= _MAX_SAMPLES:
+                self._samples.clear()
+            chosen = [Candidate(view.agent, view.incarnation) for view in views]
+            sample = self._samples[what] = now_ms, chosen
+        return list(sample[1])
