--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -110,3 +110,13 @@
     returns = sorted(spread_retry_after(2_000, AdmissionLimits(), rng) for _ in range(1_000))
     assert returns[0] >= 2_000 and returns[-1] <= 6_000
     assert max(sum(low <= r < low + 400 for r in returns) for low in range(2_000, 6_000, 400)) < 200
+
+
+def test_submissions_of_a_service_share_their_candidates() -> None:
+    """Guards against a placement class for each submission, which makes every decision slow."""
+    dispatcher = make_dispatcher(ManualClock(), *(make_view(f"a{n}") for n in range(600)))
+    first = dispatcher.candidates(make_submission())
+    assert len(first) == 256
+    assert dispatcher.candidates(make_submission()) == first
+    dispatcher.on_agent(make_view(first[0].agent, draining=True))
+    assert first[0] not in dispatcher.candidates(make_submission())
