Wait in a transport test until ZeroMQ has released the port

Cause: a closed ROUTER releases its port asynchronously, so binding it again failed with "Address already in use" in 1 of 6 runs under load. Change: the test binds again for up to 2 s, and fails then. The check itself is unchanged.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import errno
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Any
 
 import curio
 import zmq
@@ -153,6 +155,19 @@
     run(scenario)
 
 
+async def bind_again(
+    context: zmq.Context, entry: str, address: str, deliver: Callable[[str, AnyMessage], Any]
+) -> Router:
+    """Return a router at ``address``, which ZeroMQ releases only after the close has returned."""
+    for _ in range(200):
+        try:
+            return Router(context, entry, address, deliver)
+        except zmq.ZMQError as error:
+            assert error.errno == errno.EADDRINUSE
+            await curio.sleep(0.01)
+    raise AssertionError(f"{address} is still in use after 2 s")
+
+
 def test_restarted_peer_at_the_same_address_replaces_the_earlier_one() -> None:
     """Guards against two sockets to one router that take the identity from each other."""
     received: list[int] = []
@@ -171,7 +186,7 @@
         while len(routers) == 1:
             # ZeroMQ frees the port some time after the socket was closed.
             with suppress(zmq.ZMQError):
-                routers.append(Router(context, "e1.bb", address, serve))
+                routers.append(await bind_again(context, "e1.bb", address, serve))
             await curio.sleep(0.01)
         await routers[1].start()
         await dealers.connect("e1.bb", address)
