Free the slots of tasks that a query reply settles

Cause: the dispatcher heard of ends only through results and refusals. A task whose result was lost kept its slot until 5 s after its deadline, and one that was not started was counted twice after its second grant. Change: the ends in query replies reach the dispatcher. A test shows the slot free at once; the dispatcher, entry and cluster tests pass.

--- a/snipewell/dispatch.py
+++ b/snipewell/dispatch.py
@@ -34,7 +34,7 @@
     UpstreamId,
     ZoneId,
 )
-from .message import Candidate, Load, RefusalReason, Resources, TaskState
+from .message import Candidate, Load, RefusalReason, Resources, TaskRecord, TaskState
 from .outcome import Impossible, NotRun
 from .outlier import Health, OutlierDetector, OutlierLimits
 from .placement import AgentState, Option, Policy, choose
@@ -196,12 +196,22 @@
         """Take in a refusal. The home enqueues the task again if it may still run."""
         run = self._end(key, task)
         if run is not None:
-            self._correct(run, 0.0)
-            if len(self._returned) >= _MAX_RETURNED:
-                self._returned.clear()
-            self._returned[key, task] = run.arrived_ms
+            self._take_back(run)
         self.on_started(agent, load)
 
+    def on_query_reply(self, agent: AgentId, records: Iterable[TaskRecord]) -> None:
+        """Take in what an agent says of tasks whose result was lost: those that no longer run.
+
+        Nothing is learned from them, since the reply does not tell how long they ran.
+        """
+        for record in records:
+            if record.state in (TaskState.QUEUED, TaskState.RUNNING):
+                continue
+            if self._granted.agent_of(record.key, record.task) == agent:
+                run = self._end(record.key, record.task)
+                if run is not None and record.state is TaskState.NOT_STARTED:
+                    self._take_back(run)
+
     def on_grant_void(self, grant: Grant) -> None:
         """Take back a grant that the home did not turn into a start; nothing was sent.
 
@@ -346,6 +356,13 @@
         rate = self._fleet.slots() / self._homes
         self._is_pressed = self._backlog.work_ms > self._limits.pressed_ms * rate
 
+    def _take_back(self, run: Granted) -> None:
+        """Undo the charge of a task that did not start, and keep its place for its return."""
+        self._correct(run, 0.0)
+        if len(self._returned) >= _MAX_RETURNED:
+            self._returned.clear()
+        self._returned[run.ready.key, run.ready.task] = run.arrived_ms
+
     def _end(self, key: ScopedKey, task: TaskIndex) -> Granted | None:
         run = self._granted.end(key, task)
         if run is not None:
--- a/snipewell/entry.py
+++ b/snipewell/entry.py
@@ -42,6 +42,7 @@
     PeerReply,
     Progress,
     ProgressReply,
+    QueryReply,
     RefusalReason,
     Refused,
     Result,
@@ -176,6 +177,8 @@
                 self.dispatcher.on_result(agent, key, task, state, elapsed_ms, load)
             case Refused(key, task, reason, _, load):
                 self.dispatcher.on_refused(agent, key, task, reason, load)
+            case QueryReply(_, _, _, records):
+                self.dispatcher.on_query_reply(agent, records)
         return self._settle(self.homes.on_agent_message(agent, message))
 
     def on_agent_unsent(self, agent: AgentId, message: object) -> list[EntryEffect]:
--- a/snipewell/granted.py
+++ b/snipewell/granted.py
@@ -62,6 +62,11 @@
                 del self._racks[key]
         return granted
 
+    def agent_of(self, key: ScopedKey, task: TaskIndex) -> AgentId | None:
+        """Return the agent that a task is granted to, None if it is not known."""
+        granted = self._tasks.get((key, task))
+        return None if granted is None else granted.agent
+
     def count_of(self, team: TeamName) -> int:
         """Return how many tasks of ``team`` are granted."""
         return self._teams[team]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -16,7 +16,7 @@
     UpstreamId,
     ZoneId,
 )
-from snipewell.message import Load, RefusalReason, Resources, TaskState
+from snipewell.message import Load, RefusalReason, Resources, TaskRecord, TaskState
 from snipewell.placement import ExpectedFinish
 from snipewell.view import AgentView
 
@@ -135,6 +135,23 @@
     assert [grant.key for grant in dispatcher.next_grants()] == ["annex/next"]
 
 
+def test_a_task_that_a_query_reply_ends_frees_its_slot() -> None:
+    """Guards against slots that stay taken, or counted twice, when a result or refusal was lost."""
+    clock = ManualClock()
+    dispatcher = make_dispatcher(clock, make_view("a", slots=1), make_view("b", slots=1))
+    dispatcher.enqueue(make_tasks("job", 3, ["a", "b"]))
+    first, second = dispatcher.next_grants()
+    running = TaskRecord(first.key, first.task, TaskState.RUNNING)
+    dispatcher.on_query_reply(first.agent, [running])
+    elsewhere = TaskRecord(first.key, first.task, TaskState.OK)
+    dispatcher.on_query_reply(second.agent, [elsewhere])
+    assert dispatcher.running() == 2
+    not_started = TaskRecord(first.key, first.task, TaskState.NOT_STARTED)
+    dispatcher.on_query_reply(first.agent, [not_started])
+    assert dispatcher.running() == 1
+    assert [grant.agent for grant in dispatcher.next_grants()] == [first.agent]
+
+
 def test_a_bulk_job_leaves_slots_of_fast_upstreams_to_single_requests() -> None:
     """Guards against single requests that queue behind a rebuild on every fast upstream."""
     clock = ManualClock()
