--- a/snipewell/configuration.py
+++ b/snipewell/configuration.py
@@ -10,8 +10,10 @@
 from .effect import Effect, Note
 from .group import (
     CONFIG_PREFIX,
+    VOTERS_KEY,
     Group,
     Item,
+    VoterSet,
     decode_group,
     encode_group,
     live_items,
@@ -47,6 +49,7 @@
         self._parts: dict[Kind, dict[int, Group]] = {kind: {} for kind in Kind}
         self._part_revisions: dict[str, Revision] = {}
         self._values: dict[str, bytes] = {}
+        self._voters = VoterSet()
         self._specs: dict[Kind, dict[str, Spec]] = {kind: {} for kind in Kind}
         self._notes: list[Effect] = []
 
@@ -113,6 +116,11 @@
         notes, self._notes = self._notes, []
         return notes
 
+    @property
+    def voters(self) -> VoterSet:
+        """The entries whose majority counts; none before the first set."""
+        return self._voters
+
     def parts(self, kind: Kind) -> Mapping[int, Group]:
         """Return the stored parts of ``kind`` that are in force."""
         return self._parts[kind]
@@ -158,6 +166,9 @@
 
     def _set(self, key: str, value: bytes, revision: Revision) -> None:
         place = parse_key(key)
+        if key == VOTERS_KEY:
+            self._set_voters(value, revision)
+            return
         if place is None:
             self._values[key] = value
             return
@@ -183,6 +194,21 @@
             self._parts[kind].pop(part, None)
         self._specs[kind] = self._read_specs(kind)
 
+    def _set_voters(self, value: bytes, revision: Revision) -> None:
+        """Take a later set; one that a store lost or that is older leaves the last in force."""
+        try:
+            voters = msgspec.json.decode(value, type=VoterSet) if value else VoterSet()
+        except msgspec.MsgspecError as error:
+            self._note("ALARM the voters are unreadable; the last ones stay", why=error)
+            return
+        if voters.version <= self._voters.version:
+            if voters != self._voters:
+                self._note("ALARM the store has an older set of voters; the last one stays")
+            return
+        self._voters = voters
+        self._values[VOTERS_KEY] = value
+        self._part_revisions[VOTERS_KEY] = revision
+
     def _read_specs(self, kind: Kind) -> dict[str, Spec]:
         specs: dict[str, Spec] = {}
         for name, item in live_items(self._parts[kind]).items():
--- a/snipewell/effect.py
+++ b/snipewell/effect.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from .group import VoterSet
 from .ids import AgentId, Digest, EntryId, RequestId, ScopedKey, ServiceName, TaskIndex, TeamName
 from .message import AgentBound, PeerMessage, Resources
 from .outcome import Outcome
@@ -81,7 +82,15 @@
     table: PartitionTable
 
 
-Effect = SendAgent | SendEntry | Reply | Enqueue | Withdraw | Note | ProposeTable
+@dataclass(frozen=True, slots=True)
+class ProposeVoters:
+    """Write the set of voters ``following`` to the store if it still holds ``current``."""
+
+    current: VoterSet
+    following: VoterSet
+
+
+Effect = SendAgent | SendEntry | Reply | Enqueue | Withdraw | Note | ProposeTable | ProposeVoters
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/entry.py
+++ b/snipewell/entry.py
@@ -58,6 +58,7 @@
 from .resource import Kind, ServiceSpec, TeamSpec
 from .retry import RetryBudgets
 from .settings import EntrySettings
+from .voters import VoterRule
 
 ENTRIES_PREFIX = "cluster/entries/"
 TABLE_KEY = "cluster/partitions"
@@ -103,6 +104,7 @@
             settings.peer_heartbeat_interval_ms,
             settings.peer_silent_ms,
         )
+        self.voters = VoterRule(record, clock, self.freshness, self.configuration)
         limits = HomeLimits(
             partitions=settings.partitions, max_deadline_ms=settings.max_deadline_ms
         )
@@ -273,6 +275,9 @@
         effects = self._settle(self.peers.tick())
         effects += self._on_members(self.membership.tick())
         effects += self._on_live()
+        if self.config_loaded:
+            proposal = self.voters.tick(self.entries, self.peers.live().keys())
+            effects += [proposal] if proposal is not None else []
         effects += self._settle(self.homes.tick())
         effects += self._settle(self.forwards.tick())
         return effects + self.dispatch()
@@ -288,6 +293,10 @@
         """Begin to hand over all partitions."""
         return self._settle(self.homes.drain())
 
+    def leave(self) -> None:
+        """Give up the vote, at the end of a graceful stop."""
+        self.voters.leave()
+
     def _start(self, grant: Grant) -> list[EntryEffect]:
         start = self.homes.grant(grant.key, grant.task, grant.agent, grant.incarnation)
         if start is None:
@@ -368,6 +377,7 @@
     def _on_config_changed(self) -> list[EntryEffect]:
         """Let everything follow the configuration, and withdraw permits at once."""
         configuration = self.configuration
+        self.freshness.set_voters(configuration.voters.voters.keys())
         self.dispatcher.on_configuration(
             cast(Iterable[ServiceSpec], configuration.specs(Kind.SERVICE).values()),
             cast(Iterable[TeamSpec], configuration.specs(Kind.TEAM).values()),
--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -17,7 +17,7 @@
 from .client import HttpPool
 from .clock import Clock, SystemClock
 from .edge import Answered, CancelKey, Edge, Question
-from .effect import Note, ProposeTable, Reply, SendAgent, SendEntry, Submission
+from .effect import Note, ProposeTable, ProposeVoters, Reply, SendAgent, SendEntry, Submission
 from .entry import Entry, EntryEffect, Local
 from .ids import (
     AgentId,
@@ -53,11 +53,13 @@
 from .signals import SignalQueue
 from .store import Store
 from .transport import Dealers, Router, agent_identity, parse_agent_identity
+from .voterapi import VoterApi
 from .web import Request, Response
 
 TICK_S = 0.02
 _FLUSH_S = 0.1
 _RESTART_S = 0.5
+_LEAVE_MS = 1_000.0
 
 
 class _Waiter:
@@ -128,6 +130,9 @@
             self._token,
             self.core.membership.conditions,
         )
+        self._voter_api = VoterApi(
+            self.store, self.core.configuration, lambda: self.core.peers.live().keys()
+        )
         self._edge = Edge(
             self.id,
             settings,
@@ -137,7 +142,7 @@
             self._rng,
             self.metrics,
             self.log,
-            self._resources.handle,
+            self._handle_resource,
         )
         self._registry = Registry(
             self.store, record, settings, self.core, self._inbox.put, self.log, self._rng
@@ -161,11 +166,22 @@
             await curio.sleep(TICK_S)
         handed_over = self.core.homes.drained()
         await self._registry.withdraw()
+        await self._leave_voters()
         await curio.sleep(_FLUSH_S)
         await self.kill()
         self.log.info("edge", "stopped", cut_requests=cut, handed_over=handed_over)
         return cut if handed_over else max(cut, 1)
 
+    async def _leave_voters(self) -> None:
+        """Wait until this entry counts for no majority; after a time the others remove it."""
+        await self._inbox.put(self.core.leave)
+        end_ms = self.clock.now_ms() + _LEAVE_MS
+        while self.id in self.core.configuration.voters.voters:
+            if self.clock.now_ms() >= end_ms:
+                self.log.info("store", "stopped as a voter; the others remove it")
+                return
+            await curio.sleep(TICK_S)
+
     async def kill(self) -> None:
         """End at once, without a word to callers, peers or the store."""
         await self._tasks.cancel_remaining()
@@ -292,6 +308,8 @@
                 write(part, text, **fields)
             case ProposeTable():
                 await self._registry.propose(effect)
+            case ProposeVoters():
+                await self._registry.propose_voters(effect)
 
     async def _answer(self, request: RequestId, answer: Answered) -> None:
         waiter = self._waiters.get(request)
@@ -337,12 +355,17 @@
     async def _handle(self, request: Request) -> Response:
         return await self._edge.handle(request)
 
+    async def _handle_resource(self, request: Request) -> Response:
+        if self._voter_api.serves(request):
+            return await self._voter_api.handle(request)
+        return await self._resources.handle(request)
+
     async def _wait_in_force(self, revision: Revision, wait_ms: float) -> bool:
-        """Wait until a majority of the entries has ``revision``, for at most ``wait_ms``."""
+        """Wait until a majority of the voters has ``revision``, for at most ``wait_ms``."""
         end_ms = self.clock.now_ms() + wait_ms
         while True:
-            counts = self._count_at(revision)
-            if counts.entries_at_revision >= self.core.freshness.majority():
+            core = self.core
+            if core.freshness.is_in_force(revision, core.configuration.revision):
                 return True
             if self.clock.now_ms() >= end_ms:
                 return False
@@ -352,7 +375,7 @@
         core = self.core
         return Counts(
             core.freshness.entries_at(revision, core.configuration.revision),
-            len(core.entries),
+            len(core.configuration.voters.voters),
             core.membership.agents_at(revision),
             len(core.membership),
         )
--- a/snipewell/filters.py
+++ b/snipewell/filters.py
@@ -98,7 +98,7 @@
     ("readyz",): {"GET": "readyz"},
     ("metrics",): {"GET": "metrics"},
 }
-_KINDS = frozenset(kind.value for kind in Kind)
+_KINDS = frozenset(kind.value for kind in Kind) | {"voters"}
 
 
 def filter_route(exchange: Exchange) -> Invalid | None:
--- a/snipewell/freshness.py
+++ b/snipewell/freshness.py
@@ -30,7 +30,8 @@
         self._clock = clock
         self._window_ms = window_ms
         self._store_sent_ms = float("-inf")
-        self._entries: frozenset[EntryId] = frozenset()
+        self._voters: frozenset[EntryId] = frozenset()
+        self._retired = False
         self._peers: dict[EntryId, _Exchange] = {}
         self._behind_since_ms: float | None = None
 
@@ -46,37 +47,64 @@
         highest = revision if known is None else max(revision, known.revision)
         self._peers[entry] = _Exchange(sent_at_ms, highest)
 
-    def set_entries(self, ids: Collection[EntryId]) -> None:
-        """Take the entries registered in the store; the last known set holds while it is down."""
-        self._entries = frozenset(ids)
-        self._peers = {e: x for e, x in self._peers.items() if e in self._entries}
+    def set_voters(self, ids: Collection[EntryId]) -> None:
+        """Take the entries whose majority counts, as in the configuration in force."""
+        self._voters = frozenset(ids)
+
+    def keep(self, ids: Collection[EntryId]) -> None:
+        """Forget what was known of all entries but ``ids`` and the voters."""
+        wanted = self._voters.union(ids)
+        self._peers = {e: x for e, x in self._peers.items() if e in wanted}
+
+    def retire(self) -> None:
+        """Stop counting on peers: from now on only the store makes this entry fresh."""
+        self._retired = True
+
+    def has_store(self, own_revision: Revision) -> bool:
+        """Return whether the store answered within the window and no peer heard of is ahead."""
+        ahead = any(self._peers[entry].revision > own_revision for entry in self.recent())
+        return self.store_age_ms() <= self._window_ms and not ahead
+
+    def recent(self) -> frozenset[EntryId]:
+        """Return the peers that answered within the window."""
+        now = self._clock.now_ms()
+        peers = self._peers.items()
+        return frozenset(e for e, x in peers if now - x.sent_at_ms <= self._window_ms)
 
     def store_age_ms(self) -> float:
         """Return the time since the sending of the last request that the store answered."""
         return self._clock.now_ms() - self._store_sent_ms
 
     def entries_at(self, revision: Revision, own_revision: Revision) -> int:
-        """Return how many registered entries are known to have ``revision``, this one included."""
-        peers = sum(x.revision >= revision for e, x in self._peers.items() if e in self._entries)
-        return peers + (own_revision >= revision)
+        """Return how many voters are known to have ``revision``, this one included."""
+        peers = sum(x.revision >= revision for e, x in self._peers.items() if e in self._voters)
+        return peers + (self._entry in self._voters and own_revision >= revision)
+
+    def is_in_force(self, revision: Revision, own_revision: Revision) -> bool:
+        """Return whether entries with a lower revision can grant permits for the window at most.
+
+        This entry must have the revision itself: with an older one, its voters may be too old.
+        """
+        known = self.entries_at(revision, own_revision)
+        return own_revision >= revision and known >= self.majority()
 
     def majority(self) -> int:
-        """Return how many of the registered entries are a majority."""
-        return len(self._entries | {self._entry}) // 2 + 1
+        """Return how many voters are a majority."""
+        return len(self._voters) // 2 + 1
 
     def is_fresh(self, own_revision: Revision) -> bool:
         """Return whether a permit by ``own_revision`` may be granted now.
 
         Contact with the store is enough unless a peer has shown a higher revision for longer than
         the window, as happens to an entry that started after the store had gone back. Without
-        the store it takes a majority of the registered entries, none of them at a higher revision.
+        the store it takes a majority of the voters, this entry among them, and no entry heard of at
+        a higher revision.
         """
         now = self._clock.now_ms()
         recent = [
-            x.revision
-            for e, x in self._peers.items()
-            if e in self._entries and now - x.sent_at_ms <= self._window_ms
+            x.revision for e, x in self._peers.items() if now - x.sent_at_ms <= self._window_ms
         ]
+        voting = len(self.recent() & self._voters) + 1
         behind = any(revision > own_revision for revision in recent)
         if not behind:
             self._behind_since_ms = None
@@ -85,5 +113,6 @@
         if now - self._store_sent_ms <= self._window_ms:
             since = self._behind_since_ms
             return since is None or now - since <= self._window_ms
-        registered = self._entry in self._entries
-        return registered and not behind and len(recent) + 1 >= self.majority()
+        if self._retired or self._entry not in self._voters:
+            return False
+        return not behind and voting >= self.majority()
--- a/snipewell/group.py
+++ b/snipewell/group.py
@@ -13,10 +13,11 @@
 import msgspec
 import xxhash
 
-from .ids import Revision
+from .ids import EntryId, Revision
 from .resource import Kind
 
 CONFIG_PREFIX = "config/"
+VOTERS_KEY = "config/voters"
 SPLIT_BYTES = 900_000
 """Below the 1 MB that the store takes as one value, with room for the writer's envelope."""
 MAX_DEPTH = 10
@@ -46,6 +47,20 @@
     split: bool = False
 
 
+class VoterSet(msgspec.Struct, frozen=True):
+    """The entries whose majority counts, with their message addresses.
+
+    ``version`` is one more with each change, so that an equal set is never taken for another.
+    """
+
+    version: int = 0
+    voters: dict[EntryId, str] = {}
+
+    def succeed(self, voters: dict[EntryId, str]) -> VoterSet:
+        """Return the set that follows this one."""
+        return VoterSet(self.version + 1, dict(sorted(voters.items())))
+
+
 _STORE_NAMES = {kind: kind.value for kind in Kind} | {Kind.CONFIGURATION: "settings"}
 _KINDS = {name: kind for kind, name in _STORE_NAMES.items()}
 _encoder = msgspec.json.Encoder(order="deterministic")
--- a/snipewell/peer.py
+++ b/snipewell/peer.py
@@ -77,7 +77,7 @@
         for entry, record in records.items():
             if entry != self._record.entry and entry not in self._peers:
                 self._peers[entry] = _Peer(record.zone, replaced_at_ms=now)
-        self._freshness.set_entries(frozenset(records))
+        self._freshness.keep(self._peers.keys())
 
     def live(self) -> dict[EntryId, ZoneId]:
         """Return the zone of each live entry; this one is live once it is registered."""
--- a/snipewell/registry.py
+++ b/snipewell/registry.py
@@ -8,7 +8,7 @@
 import curio
 import msgspec
 
-from .effect import ProposeTable
+from .effect import ProposeTable, ProposeVoters
 from .entry import ENTRIES_PREFIX, TABLE_KEY, Entry
 from .group import CONFIG_PREFIX
 from .ids import EntryId, Revision
@@ -18,13 +18,14 @@
 from .peer import EntryRecord
 from .settings import EntrySettings
 from .store import Changes, Follower, Listing, Store, StoreError
+from .voterapi import write_voters
 
 CLUSTER_PREFIX = "cluster/"
 _RETRY_MS = (50.0, 150.0)
 
 
 class Registry:
-    """Four tasks: one for each watch, one for the registration, one that writes the table.
+    """A task for each watch, one for the registration, and one each that writes table and voters.
 
     ``put`` hands an event to the task that owns ``core``.
     """
@@ -50,17 +51,30 @@
         self._entries: dict[EntryId, EntryRecord] = {}
         self._proposal: ProposeTable | None = None
         self._proposed = curio.Event()
+        self._voters: ProposeVoters | None = None
+        self._voters_proposed = curio.Event()
         self._withdrawn = False
 
     def tasks(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the tasks to run for the life of the entry."""
-        return [self._follow_config, self._follow_cluster, self._register, self._write_table]
+        return [
+            self._follow_config,
+            self._follow_cluster,
+            self._register,
+            self._write_table,
+            self._write_voters,
+        ]
 
     async def propose(self, proposal: ProposeTable) -> None:
         """Write a table as soon as possible; a newer proposal replaces one that waits."""
         self._proposal = proposal
         await self._proposed.set()
 
+    async def propose_voters(self, proposal: ProposeVoters) -> None:
+        """Write a set of voters as soon as possible."""
+        self._voters = proposal
+        await self._voters_proposed.set()
+
     async def withdraw(self) -> None:
         """Remove the registration, so that nobody waits for the lease to lapse."""
         self._withdrawn = True
@@ -167,5 +181,20 @@
             self._log.info("store", "wrote the partition table", version=version)
             await self._put(self._core.on_store_table, written)
 
+    async def _write_voters(self) -> None:
+        while True:
+            await self._voters_proposed.wait()
+            self._voters_proposed.clear()
+            proposal, self._voters = self._voters, None
+            if proposal is None:
+                continue
+            try:
+                if await write_voters(self._store, self._core.configuration, proposal):
+                    voters = sorted(proposal.following.voters)
+                    self._log.info("store", "wrote the voters", voters=voters)
+            except StoreError as error:
+                # The watch brings what another entry wrote; the rule decides anew from that.
+                self._log.info("store", "the voters were not written", why=str(error))
+
     async def _pause(self) -> None:
         await curio.sleep(self._rng.uniform(*_RETRY_MS) / 1000)
--- a/snipewell/resources.py
+++ b/snipewell/resources.py
@@ -48,7 +48,7 @@
 
 
 class Counts(msgspec.Struct, frozen=True):
-    """How many entries and agents have a revision, and how many there are."""
+    """How many voters among the entries and how many agents have a revision, and of how many."""
 
     entries_at_revision: int
     entries: int
@@ -99,7 +99,7 @@
 class Resources:
     """Serves ``/v1/<kind>`` and ``/v1/<kind>/<name>``.
 
-    ``wait_in_force`` waits until a majority of entries has a revision, for at most a time in ms;
+    ``wait_in_force`` waits until a majority of voters has a revision, for at most a time in ms;
     ``count`` says who has it now. ``observe`` adds conditions to a resource's status. With a
     ``token``, writes must carry it.
     """
@@ -136,7 +136,7 @@
         except SpecError as error:
             return response_from_invalid(Invalid(400, error.reason, error.field))
         except SnipewellError as error:
-            return _respond_error(error)
+            return respond_error(error)
 
     async def _route(self, request: Request) -> Response:
         parts = request.path.split("/")[2:]
@@ -386,7 +386,7 @@
     return _RefusedError(Invalid(status, reason, field))
 
 
-def _respond_error(error: SnipewellError) -> Response:
+def respond_error(error: SnipewellError) -> Response:
     """Return 504 if the write may take effect, 503 if it certainly did not."""
     certain = isinstance(error, StoreUnreachableError)
     body = {
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -91,6 +91,26 @@
     run_cluster(check)
 
 
+def test_registered_entries_become_voters() -> None:
+    """Guards against entries that no majority counts, and a removal of one that is alive."""
+
+    async def check(cluster: Cluster) -> None:
+        ids = {entry.id for entry in cluster.entries.values()}
+        cores = [entry.core for entry in cluster.entries.values()]
+
+        def agree() -> bool:
+            return all(core.configuration.voters.voters.keys() == ids for core in cores)
+
+        await cluster.wait_until(agree, "three voters")
+        listed = msgspec.json.decode((await cluster.request(Request("GET", "/v1/voters"))).body)
+        assert {v["entry"] for v in listed["voters"] if v["live"]} == ids
+        removal = await cluster.request(Request("DELETE", f"/v1/voters/{min(ids)}"))
+        assert removal.status == 409, removal.body
+        assert listed["version"] == 3
+
+    run_cluster(check)
+
+
 def test_resubmission_joins_and_progress_is_told() -> None:
     """Guards against a second run of a job that its caller thinks is lost."""
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,7 @@
 from snipewell.clock import ManualClock
 from snipewell.effect import Reply, SendAgent, SendEntry, Submission
 from snipewell.entry import Entry, EntryEffect
-from snipewell.group import Group, Item, encode_group, part_key
+from snipewell.group import VOTERS_KEY, Group, Item, VoterSet, encode_group, part_key
 from snipewell.ids import (
     AgentId,
     EntryId,
@@ -49,6 +49,7 @@
 
 ZONE = ZoneId("patan")
 AGENT = AgentId("a1")
+VOTERS = {EntryId(f"e{n}.0"): "127.0.0.1:2" for n in (1, 2, 3)}
 
 
 def snapshot(revision: int, in_service: bool) -> Snapshot:
@@ -58,6 +59,7 @@
     values = {
         part_key(Kind.ZONE): group(ZONE, ZoneSpec(ZONE, in_service)),
         part_key(Kind.SERVICE): group("dye-test", ServiceSpec(ServiceName("dye-test"))),
+        VOTERS_KEY: msgspec.json.encode(VoterSet(1, VOTERS)),
     }
     return Snapshot(Revision(revision), values)
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -9,7 +9,7 @@
 def make() -> tuple[Freshness, ManualClock]:
     clock = ManualClock(10_000)
     freshness = Freshness(A, clock)
-    freshness.set_entries([A, B, C])
+    freshness.set_voters([A, B, C])
     return freshness, clock
 
 
@@ -60,7 +60,7 @@
     clock = ManualClock()
     freshness = Freshness(A, clock)
     assert not freshness.is_fresh(R5)
-    freshness.set_entries([A])
+    freshness.set_voters([A])
     assert freshness.is_fresh(R5)
 
 
