Test that the voters' exploration finds changes that do not wait

Without the wait for a majority of the present voters, two changes of the set in a row leave majorities that share no entry. The status counts voters since; say so in its comment.

--- a/snipewell/resource.py
+++ b/snipewell/resource.py
@@ -102,7 +102,7 @@
 class Status(msgspec.Struct, frozen=True):
     """What the system reports on a resource.
 
-    The counts say how many registered entries and live agents have the resource's revision or a
+    The counts say how many voters and live agents have the resource's revision or a
     later one, as far as the entry that answers knows.
     """
 
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -458,6 +458,12 @@
     assert any(explore(seed, by_registration=True).violations for seed in SEEDS)
 
 
+def test_exploration_finds_changes_that_do_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an exploration that misses two changes of the set in a row."""
+    monkeypatch.setattr(VoterRule, "_is_known", lambda rule, current: True)
+    assert any(explore(seed, by_registration=False).violations for seed in (59, 72))
+
+
 def test_proposal_names_what_it_replaces() -> None:
     """Guards against a change on top of a set that another entry has replaced meanwhile."""
     world = World()
