--- a/bench/submissions.py
+++ b/bench/submissions.py
@@ -106,11 +106,13 @@
         return sent
 
 
-def run_jobs(group: Group, first: int, jobs: int, tasks: int) -> float:
+def run_jobs(
+    group: Group, first: int, jobs: int, tasks: int, agents: list[AgentId] = AGENTS
+) -> float:
     """Run ``jobs`` jobs to their end; return the processor seconds of the whole group."""
     homes, service, team = group.homes[HOME], ServiceName("intake-check"), TeamName("annex")
-    candidates = [Candidate(agent, LIFE) for agent in AGENTS]
     began_s = time.process_time()
+    candidates = [Candidate(agent, LIFE) for agent in agents]
     for number in range(first, first + jobs):
         key = ScopedKey(f"annex/{number:032d}")
         submission = Submission(
@@ -128,7 +130,7 @@
         )
         group.apply(HOME, homes.submit(submission, candidates))
         for task in range(tasks):
-            agent = AGENTS[task % len(AGENTS)]
+            agent = agents[task % len(agents)]
             start = homes.grant(key, TaskIndex(task), agent, LIFE)
             assert start is not None
             result = Result(key, TaskIndex(task), TaskState.OK, b"y" * 200, "", 1.0, Load())
