Count a zone's return from the begin of its write in process histories

Cause: the harness recorded the return of a zone when its write was answered, but tasks may start as soon as it is stored. Change: a return counts from the begin of its write; a withdrawal still counts from the answer that accepts it. The bound of 3,000 ms is unchanged.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -316,8 +316,13 @@
         return -1.0
 
     def put(self, kind: str, name: str, spec: Mapping[str, Any], limit_s: float = 20.0) -> Reply:
-        """Write a resource through any entry, again until it is accepted, and record it."""
+        """Write a resource through any entry, again until it is accepted, and record it.
+
+        A withdrawal counts from the answer that accepts it. A return counts from the begin of the
+        write, because tasks may start as soon as it is stored, before it is answered.
+        """
         end = time.monotonic() + limit_s
+        begun_ms = now_ms()
         while True:
             for address in self.entries.values():
                 try:
@@ -325,7 +330,7 @@
                 except OSError:
                     continue
                 if reply.status == 200:
-                    self._record_change(kind, name, spec, reply)
+                    self._record_change(kind, name, spec, begun_ms, reply)
                     return reply
             if time.monotonic() > end:
                 raise TimeoutError(f"{kind}/{name}: not accepted within {limit_s:g} s")
@@ -335,15 +340,17 @@
         body = json.dumps({"spec": spec}).encode()
         return call("PUT", address, f"/v1/{kind}/{name}", body)
 
-    def _record_change(self, kind: str, name: str, spec: Mapping[str, Any], reply: Reply) -> None:
-        at_ms = now_ms()
-        if kind == "zones":
-            self.record(ZoneChanged(at_ms, name, bool(spec["in_service"])))
-        if kind == "upstreams":
-            self.record(UpstreamChanged(at_ms, name, bool(spec["in_service"])))
+    def _record_change(
+        self, kind: str, name: str, spec: Mapping[str, Any], begun_ms: float, reply: Reply
+    ) -> None:
+        answered_ms = now_ms()
+        if kind in ("zones", "upstreams"):
+            in_service = bool(spec["in_service"])
+            change = ZoneChanged if kind == "zones" else UpstreamChanged
+            self.record(change(begun_ms if in_service else answered_ms, name, in_service))
         revision = reply.json().get("revision")
         if revision:
-            self.record(ConfigurationAccepted(at_ms, int(revision)))
+            self.record(ConfigurationAccepted(answered_ms, int(revision)))
 
     def set_store_faults(self, faults: Mapping[str, Any]) -> None:
         call("POST", self.store, "/faults", json.dumps(faults).encode())
