Plan the holders anew after a handover was given up

A trace showed one partition whose home had been handing it to that entry, gave the handover up, and kept the holders planned for it, the draining entry among them. Ruled out: a lost Leaving message (both homes had it) and an undecided table (no proposal was open). Change: a tenure whose handover was given up asks for a new plan.

--- a/snipewell/tenure.py
+++ b/snipewell/tenure.py
@@ -56,6 +56,7 @@
         self.register = Register(context, partition, assigned, covered_since_ms)
         self._live: Collection[EntryId] = ()
         self._wanted: tuple[EntryId, ...] = assigned.holders
+        self._is_given_up = False
         self._queue: deque[tuple[Submission, Sequence[Candidate]]] = deque()
         self._queued_bytes = 0
         self._resend_at_ms = 0.0
@@ -185,6 +186,7 @@
     def want(self, holders: tuple[EntryId, ...]) -> None:
         """Copy all records to ``holders``, in order to propose them."""
         self._wanted = holders
+        self._is_given_up = False
         self._follow()
 
     def can_sync(self) -> bool:
@@ -213,12 +215,16 @@
     def end_handover(self) -> list[Effect]:
         """Go on serving, because running work did not end soon or the successor is gone."""
         self.register.handover = None
+        self._is_given_up = True
         self.phase = Phase.SERVING
         return self._drain_queue()
 
     def is_changing(self) -> bool:
-        """Return whether the partition waits for a change of the table."""
-        unwanted = set(self._wanted) != set(self.assigned.holders)
+        """Return whether the partition waits for a change of the table, or for a new plan.
+
+        The holders wanted for a handover that was given up may include an entry that leaves.
+        """
+        unwanted = self._is_given_up or set(self._wanted) != set(self.assigned.holders)
         return unwanted or self.phase is Phase.FETCHING or self.handover is not None
 
     def plan(self) -> PartitionEntry | None:
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -494,3 +494,20 @@
     assert [f.request for f in forwards if isinstance(f, Forward)] == ["r2"]
     cluster.submit("r3")
     assert cluster.outcomes["r3"] == cluster.outcomes["r1"] == Complete([b"r0"])
+
+
+def test_entry_drains_although_it_was_to_be_the_next_home() -> None:
+    """Guards against a drain that never ends, after a handover to the draining entry was given up.
+
+    The home had planned the holders for that handover and did not plan them again.
+    """
+    cluster = Cluster(2, quiesce_ms=1_000)
+    old = cluster.home
+    (leaving,) = set(cluster.homes) - {old}
+    cluster.submit("r1")
+    assert cluster.grant()
+    cluster.homes[old]._tenures[Partition(0)].begin_handover(leaving, (old, leaving))
+    cluster.advance(200)
+    cluster.apply(leaving, cluster.homes[leaving].drain())
+    cluster.advance(3_000)
+    assert cluster.home == old and cluster.homes[leaving].drained()
