--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -58,8 +58,8 @@
 from snipewell.standins.cluster import entry_settings
 from snipewell.view import AgentView
 
-ZONE = ZoneId("patan")
-SERVICES = [ServiceName(name) for name in ("intake-check", "dye-test", "pickup-booking")]
+ZONE = ZoneId("zone-c")
+SERVICES = [ServiceName(name) for name in ("inspect", "compare", "order")]
 LIFE = Incarnation("0123456789abcdef")
 AGENTS = (10, 100, 300, 1_000)
 PARTITIONS = (64, 512, 4_096)
--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -212,7 +212,7 @@
 async def run_jobs(cluster: Cluster, tasks: int) -> tuple[float, float]:
     """Return microseconds of a job of ``tasks`` tasks of 0 ms, and the share completed."""
     jobs = max(10, 300 // tasks)
-    body = msgspec.json.encode({"service": "dye-test", "tasks": [{"ms": 0}] * tasks})
+    body = msgspec.json.encode({"service": "resize", "tasks": [{"ms": 0}] * tasks})
 
     async def ask(number: int) -> bool:
         headers = {"idempotency-key": f"path-{tasks}-{number}"}
@@ -235,7 +235,7 @@
     await cluster.start()
     try:
         await cluster.put("zones", ZONE, {})
-        await cluster.put("services", "dye-test", {"expected_ms": 1})
+        await cluster.put("services", "resize", {"expected_ms": 1})
         await wait_quiet(cluster)
         return {tasks: await run_jobs(cluster, tasks) for tasks in (1, 10, 100)}
     finally:
--- a/bench/submissions.py
+++ b/bench/submissions.py
@@ -58,14 +58,14 @@
         self.clock = ManualClock(1_000)
         names = [HOME, *(EntryId(f"entry-{n}.0123456789abcdef") for n in range(2, holders + 1))]
         self.homes = {
-            name: Homes.from_config(name, ZoneId("patan"), self.clock, Random(1), limits)
+            name: Homes.from_config(name, ZoneId("zone-c"), self.clock, Random(1), limits)
             for name in names
         }
         self.traffic: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
         self.holder_s = 0.0
         self.proposals: list[ProposeTable] = []
-        live = {name: ZoneId("patan") for name in names}
+        live = {name: ZoneId("zone-c") for name in names}
         for name, homes in self.homes.items():
             self.apply(name, homes.on_entries(live))
         entry = PartitionEntry(HOME, tuple(names), Epoch(1), Epoch(0))
@@ -110,7 +110,7 @@
     group: Group, first: int, jobs: int, tasks: int, agents: list[AgentId] = AGENTS
 ) -> float:
     """Run ``jobs`` jobs to their end; return the processor seconds of the whole group."""
-    homes, service, team = group.homes[HOME], ServiceName("intake-check"), TeamName("annex")
+    homes, service, team = group.homes[HOME], ServiceName("inspect"), TeamName("annex")
     began_s = time.process_time()
     candidates = [Candidate(agent, LIFE) for agent in agents]
     for number in range(first, first + jobs):
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -8,7 +8,7 @@
 from snipewell.ids import ServiceName, TeamName, ZoneId
 from snipewell.resource import ServiceSpec, TeamSpec
 
-ZONES = [ZoneId("patan"), ZoneId("bhaktapur"), ZoneId("kirtipur")]
+ZONES = [ZoneId("zone-c"), ZoneId("zone-a"), ZoneId("zone-b")]
 SLOTS = 8
 # Time of a task on each upstream against the reference; set before measuring.
 FACTORS = [0.8, 0.85, 0.9, 1.0, 1.0, 1.0, 1.1, 1.25, 1.6, 2.0]
@@ -28,13 +28,11 @@
 
 # The declared times of two services are far off on purpose.
 SERVICES = [
+    ServiceShape(ServiceSpec(ServiceName("inspect"), idempotent=True, expected_ms=100), 50, 200, 4),
     ServiceShape(
-        ServiceSpec(ServiceName("intake-check"), idempotent=True, expected_ms=100), 50, 200, 4
+        ServiceSpec(ServiceName("compare"), idempotent=True, expected_ms=5_000), 100, 500, 3
     ),
-    ServiceShape(
-        ServiceSpec(ServiceName("dye-test"), idempotent=True, expected_ms=5_000), 100, 500, 3
-    ),
-    ServiceShape(ServiceSpec(ServiceName("pickup-booking"), expected_ms=150), 100, 300, 2),
+    ServiceShape(ServiceSpec(ServiceName("order"), expected_ms=150), 100, 300, 2),
     ServiceShape(
         ServiceSpec(ServiceName("rota-rebuild"), deadline_ms=60_000, expected_ms=20), 200, 1_000, 1
     ),
--- a/snipewell/api.py
+++ b/snipewell/api.py
@@ -2,8 +2,8 @@
 
 For example, within a curio task::
 
-    client = Client(["127.0.0.1:8080"], team="annex")
-    outcome = await client.submit_request("intake", b'{"bolt": 7}', key="bolt-7")
+    client = Client(["127.0.0.1:8080"], team="web")
+    outcome = await client.submit_request("resize", b'{"image": 7}', key="image-7")
     match outcome:
         case Complete(results):
             print(results[0])
--- a/snipewell/entryd.py
+++ b/snipewell/entryd.py
@@ -120,6 +120,15 @@
             self.id, ZoneId(settings.zone), self.http_address, self._router.address
         )
         self.core = Entry(record, self.incarnation, settings, self.clock, self._rng)
+        self._build_controllers(record)
+        self._add_gauges()
+        await self._router.start()
+        for task in (self._own, self._tick, *self._registry.tasks()):
+            await self._tasks.spawn(self._keep_running, task)
+        self.log.info("edge", "entry started", http=self.http_address)
+
+    def _build_controllers(self, record: EntryRecord) -> None:
+        """Build what stands between the core and the sockets; they need the bound addresses."""
         self._resources = Resources(
             self.store,
             self.core.configuration,
@@ -135,7 +144,7 @@
         )
         self._edge = Edge(
             self.id,
-            settings,
+            self.settings,
             self._token,
             self,
             self.clock,
@@ -145,13 +154,8 @@
             self._handle_resource,
         )
         self._registry = Registry(
-            self.store, record, settings, self.core, self._inbox.put, self.log, self._rng
+            self.store, record, self.settings, self.core, self._inbox.put, self.log, self._rng
         )
-        self._add_gauges()
-        await self._router.start()
-        for task in (self._own, self._tick, *self._registry.tasks()):
-            await self._tasks.spawn(self._keep_running, task)
-        self.log.info("edge", "entry started", http=self.http_address)
 
     async def drain(self, limit_ms: float | None = None) -> int:
         """Finish requests, hand over partitions and end; return how many requests were cut off."""
--- a/snipewell/manifest.py
+++ b/snipewell/manifest.py
@@ -1,7 +1,7 @@
 """Resource files kept in version control: reading a directory, and comparing it with what exists.
 
 A file is JSON with comments: an object with lists of specs by kind, for example
-``{"zones": [{"name": "patan"}], "teams": [{"name": "annex", "weight": 2}]}``.
+``{"zones": [{"name": "zone-c"}], "teams": [{"name": "web", "weight": 2}]}``.
 """
 
 from __future__ import annotations
--- a/snipewell/standins/cluster.py
+++ b/snipewell/standins/cluster.py
@@ -36,8 +36,8 @@
 class Cluster:
     """Store, upstreams, entries, agents and balancer.
 
-    For example ``cluster = Cluster([entry_settings("e1", "patan")], [agent_settings("a1",
-    "patan")])``, then ``await cluster.start()``, ``await cluster.put("zones", "patan", {})`` and
+    For example ``cluster = Cluster([entry_settings("e1", "zone-c")], [agent_settings("a1",
+    "zone-c")])``, then ``await cluster.start()``, ``await cluster.put("zones", "zone-c", {})`` and
     ``await cluster.request(Request("GET", "/readyz"))``. Addresses in the settings are filled in
     on start; each agent gets an upstream of the name in its settings.
     """
@@ -188,7 +188,7 @@
         upstream=f"u-{name}",
         upstream_address=f"{HOST}:1",
         balancer=f"{HOST}:1",
-        services=["dye-test"],
+        services=["resize"],
         log=LogSettings(level="off"),
     )
     return msgspec.structs.replace(settings, **changes)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -45,7 +45,7 @@
 )
 
 HOST = "127.0.0.1"
-ZONES = ("patan", "bhaktapur", "kirtipur")
+ZONES = ("zone-a", "zone-b", "zone-c")
 READY_LIMIT_S = 30.0
 _used: set[int] = set()
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -35,7 +35,7 @@
             for zone in ZONES[:entries]:
                 put = await cluster.put("zones", zone, {"in_service": True})
                 assert put.status == 200, put.body
-            await cluster.put("services", "dye-test", {"deadline_ms": 10_000})
+            await cluster.put("services", "resize", {"deadline_ms": 10_000})
             await check(cluster)
             assert await cluster.stop() == 0
 
@@ -43,7 +43,7 @@
 
 
 def job(key: str, tasks: list[dict[str, object]], **headers: str) -> Request:
-    body = msgspec.json.encode({"service": "dye-test", "tasks": tasks})
+    body = msgspec.json.encode({"service": "resize", "tasks": tasks})
     return Request("POST", "/v1/jobs", {}, {"idempotency-key": key, **headers}, body)
 
 
@@ -81,7 +81,7 @@
                 await group.spawn(ask, number)
         assert set(starts(cluster).values()) == {1}
         single = Request(
-            "POST", "/v1/services/dye-test/requests", {}, {"idempotency-key": "s"},
+            "POST", "/v1/services/resize/requests", {}, {"idempotency-key": "s"},
             b'{"ms": 5, "reply": "blue"}',
         )  # fmt: skip
         assert (await cluster.request(single)).body == b'"blue"'
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -21,7 +21,7 @@
 from snipewell.web import Request, Response
 
 SERVICE = {"deadline_ms": 20_000}
-SUBMIT = Request("POST", "/v1/services/dye-test/requests", {}, {"idempotency-key": "k"}, b"1")
+SUBMIT = Request("POST", "/v1/services/resize/requests", {}, {"idempotency-key": "k"}, b"1")
 
 
 def find_port() -> int:
@@ -51,7 +51,7 @@
             while not await is_ready(address):
                 await curio.sleep(0.01)
             body = msgspec.json.encode({"spec": SERVICE})
-            await fetch(address, Request("PUT", "/v1/services/dye-test", {}, {}, body), 5_000)
+            await fetch(address, Request("PUT", "/v1/services/resize", {}, {}, body), 5_000)
             await check(address, entry)
             status = int(await entry.join())
         await server.stop()
@@ -125,7 +125,7 @@
     async def main() -> None:
         cluster = Cluster([entry_settings("e1", "patan", waiting_requests=1)])
         await cluster.start()
-        await cluster.put("services", "dye-test", SERVICE)
+        await cluster.put("services", "resize", SERVICE)
         waiting = await curio.spawn(cluster.request, SUBMIT)
         entry = cluster.entries["e1"]
         await cluster.wait_until(lambda: entry.waiting_count == 1, "the first request")
@@ -143,7 +143,7 @@
     async def main() -> None:
         cluster = Cluster([entry_settings("e1", "patan")])
         await cluster.start()
-        await cluster.put("services", "dye-test", {"deadline_ms": 300})
+        await cluster.put("services", "resize", {"deadline_ms": 300})
         entry = cluster.entries["e1"]
         submit, entry.core.homes.submit = entry.core.homes.submit, None
         waiting = await curio.spawn(cluster.request, SUBMIT)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,11 +24,11 @@
         faults.store_fault("loses answers", 2.0, lose_answers=3),
     ],
     # Guards against starts in a zone or at an upstream that was taken out.
-    "zone and upstream out": [faults.zone_out("patan", 4.0), faults.upstream_out("u1", 4.0)],
+    "zone and upstream out": [faults.zone_out("zone-a", 4.0), faults.upstream_out("u1", 4.0)],
     # Guards against a withdrawn zone that goes on because an entry or agent did not hear of it.
     "zone out, entry paused": [
         faults.pause("e2", 0.3),
-        faults.zone_out("bhaktapur", 4.0),
+        faults.zone_out("zone-b", 4.0),
         faults.store_fault("slow", 2.0, slow_ms=300),
     ],
     # Guards against crossed, truncated and silent upstream answers reaching a caller.
