--- /dev/null
+++ b/snipewell/channel.py
@@ -0,0 +1,105 @@
+"""A session between an agent and an entry: ordered, exactly-once frames over a lossy transport.
+
+Frames may be lost with their connection or arrive seconds late after a partition. Each side numbers
+its frames, acknowledges the other's, and repeats what is not acknowledged. A session ends for good
+when one side was silent for too long; frames of an ended session are ignored, so an order that
+arrives late can't start work that its sender has given up.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, TypeVar
+
+import msgspec
+
+Body = TypeVar("Body")
+Out = TypeVar("Out")
+In = TypeVar("In")
+
+RESEND_MS = 120.0
+"""Wait for an acknowledgement before frames are repeated; several round trips between zones."""
+MAX_UNACKED = 5_000
+"""Frames that a channel keeps for repetition; far more than a session has in flight."""
+
+
+class ChannelFullError(Exception):
+    """The other side acknowledges nothing; the session should be given up."""
+
+
+class Frame(msgspec.Struct, Generic[Body], array_like=True):
+    """One message of a session.
+
+    ``number`` is 0 for a frame without body. ``acked`` is the highest number received in order.
+    ``sent_ms`` is the sender's monotonic clock.
+    """
+
+    session: str
+    number: int
+    acked: int
+    sent_ms: float
+    body: Body | None = None
+
+
+class Channel(Generic[Out, In]):
+    """One side of a session, which sends ``Out`` and receives ``In``.
+
+    Times are monotonic milliseconds of this process.
+    """
+
+    def __init__(self, session: str, now_ms: float) -> None:
+        self.session = session
+        self.heard_ms = now_ms
+        """When the newest frame received was sent, as far as can be told on this side's clock."""
+        self.sent_ms = now_ms
+        """When this side last sent a frame."""
+        self._next_number = 1
+        self._received = 0
+        self._unacked: deque[tuple[int, Out]] = deque()
+        self._resend_at_ms = 0.0
+        self._offset_ms: float | None = None
+
+    @property
+    def unacked(self) -> int:
+        """Number of frames that the other side hasn't acknowledged."""
+        return len(self._unacked)
+
+    def send(self, body: Out | None, now_ms: float) -> Frame[Out]:
+        """Return the frame that carries ``body``, or an acknowledgement alone if it is None."""
+        self.sent_ms = now_ms
+        if body is None:
+            return Frame(self.session, 0, self._received, now_ms)
+        if len(self._unacked) >= MAX_UNACKED:
+            raise ChannelFullError(f"{MAX_UNACKED} frames without an acknowledgement")
+        number = self._next_number
+        self._next_number += 1
+        if not self._unacked:
+            self._resend_at_ms = now_ms + RESEND_MS
+        self._unacked.append((number, body))
+        return Frame(self.session, number, self._received, now_ms, body)
+
+    def receive(self, frame: Frame[In], now_ms: float) -> list[In]:
+        """Take in a frame of this session; return its body unless it is a repetition or early."""
+        offset_ms = now_ms - frame.sent_ms
+        if self._offset_ms is None or offset_ms < self._offset_ms:
+            self._offset_ms = offset_ms
+        # A frame held up on its way doesn't count as a sign of life from now.
+        self.heard_ms = max(self.heard_ms, frame.sent_ms + self._offset_ms)
+        while self._unacked and self._unacked[0][0] <= frame.acked:
+            self._unacked.popleft()
+            self._resend_at_ms = now_ms + RESEND_MS
+        if frame.body is None or frame.number != self._received + 1:
+            return []
+        self._received += 1
+        return [frame.body]
+
+    def resend(self, now_ms: float) -> list[Frame[Out]]:
+        """Return the frames to repeat now."""
+        if not self._unacked or now_ms < self._resend_at_ms:
+            return []
+        self._resend_at_ms = now_ms + RESEND_MS
+        self.sent_ms = now_ms
+        return [
+            Frame(self.session, number, self._received, now_ms, body)
+            for number, body in self._unacked
+        ]
--- a/snipewell/client.py
+++ b/snipewell/client.py
@@ -16,6 +16,7 @@
 import curio.io
 import h11
 
+from .keepalive import probe_silence
 from .outcome import SnipewellError, Step
 from .web import Request, Response
 
@@ -45,8 +46,11 @@
         self.sent = False
 
     @classmethod
-    async def open(cls, address: str) -> _Connection:
-        """Connect to ``address`` (``ip:port``); raise OSError or ValueError."""
+    async def open(cls, address: str, silence_ms: float = 0) -> _Connection:
+        """Connect to ``address`` (``ip:port``); raise OSError or ValueError.
+
+        With ``silence_ms``, a peer that leaves keep-alive probes unanswered for that long is gone.
+        """
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -54,6 +58,8 @@
         sock = curio.io.Socket(raw)
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if silence_ms > 0:
+                probe_silence(raw, silence_ms)
             await sock.connect((host, int(port)))
         except BaseException:
             await sock.close()
@@ -158,8 +164,10 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         step: Step = Step.UPSTREAM,
         connect_timeout_ms: float = 1_000,
+        silence_ms: float = 0,
     ) -> None:
         self.address = address
+        self._silence_ms = silence_ms
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._max_body_bytes = max_body_bytes
         self._step = step
@@ -233,7 +241,7 @@
             await connection.close()
         try:
             async with curio.timeout_after(self._connect_timeout_s):
-                return await _Connection.open(self.address)
+                return await _Connection.open(self.address, self._silence_ms)
         except (OSError, ValueError, curio.TaskTimeout) as error:
             raise NotSentError(self._step, self.address, f"cannot connect: {error}") from error
 
--- /dev/null
+++ b/snipewell/executor.py
@@ -0,0 +1,754 @@
+"""The agent's core: runs of tasks on the upstream beside it, without any I/O.
+
+Entries order runs within a session each. The executor has the last word on a start: it rejects
+what doesn't fit, what an upstream that leaves or a zone out of service may not take, and orders of
+sessions that ended. It stops the runs of an entry that falls silent, and extends the upstream's
+lease only for runs whose entry is alive.
+
+An order to the upstream that gets no answer may be carried out seconds later. Every order carries
+the executor's fencing token, and the upstream ignores orders with a lower one than it has seen.
+After an unanswered start, the executor raises the token and looks at the upstream's list of runs:
+from then on the start has either happened or never will.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .channel import Channel, ChannelFullError
+from .ids import UpstreamId
+from .job import Room, RunEnd
+from .lease import LeaseClock
+from .order import (
+    AgentBody,
+    AgentFrame,
+    EntryBody,
+    EntryFrame,
+    Goodbye,
+    Hello,
+    Notice,
+    Report,
+    RunEnded,
+    StartRun,
+    StopRun,
+    UpstreamReport,
+)
+
+BEAT_MS = 200.0
+"""Longest pause between two frames of a session; a quarter of the silence that ends it."""
+OWNER_SILENCE_MS = 900.0
+"""Silence after which an entry's runs are stopped. A client sends its job again 1,300 ms after a
+lost answer (``resendIntervalMs``); 400 ms are left to stop the runs, one lost stop included."""
+START_TIMEOUT_MS = 250.0
+"""Wait for the answer to a start, which the upstream gives within a few milliseconds."""
+STOP_RETRY_MS = 150.0
+"""Wait before a stop is repeated; three times the upstream's ``stopGraceMs``."""
+LOOK_RETRY_MS = 150.0
+"""Wait before the list of runs is asked for again after no answer."""
+HOLD_WAIT_MS = 200
+"""Longest wait of a call for the next end; a fifth of the longest lease (``maxHoldMs``)."""
+IDLE_LOOK_MS = 1_000.0
+"""Pause between looks at an idle upstream, which keep the estimate of its clock within 20 ms."""
+REPORT_MS = 10.0
+"""Shortest pause between two reports of room to an entry, which bounds their number."""
+STALL_MS = 500.0
+STALL_SHARE = 0.35
+"""A run is stopped after no progress for ``STALL_MS`` and this share of its expected duration. On a
+sound upstream, 1% of progress shows within a hundredth of the duration."""
+UNHEALTHY_MS = 1_000.0
+"""How long an upstream that refused or did not answer a start is reported as unhealthy."""
+NO_ROOM = "no room"
+BUSY_TASK = "another attempt is being stopped"
+"""Reasons of rejections that say nothing about the upstream."""
+FENCE_JUMP = 600_000
+"""Added to a token that the upstream refused, in steps that double: ten minutes in milliseconds,
+more than the time of day jumps between two lives of an agent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One life of the upstream; ``born_ms`` tells two lives under one id apart."""
+
+    upstream: UpstreamId
+    born_ms: int
+    service: str
+    zone: str
+    address: str
+    capacity: Room
+    labels: tuple[str, ...] = ()
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunRow:
+    """A run that the upstream lists; ``percent`` is its progress."""
+
+    task: str
+    attempt: int
+    percent: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndRow:
+    """An end that the upstream lists under ``number``."""
+
+    number: int
+    task: str
+    attempt: int
+    end: RunEnd
+
+
+@dataclass(frozen=True, slots=True)
+class Runs:
+    """The upstream's lists of runs, and its clock."""
+
+    clock_ms: float
+    born_ms: int | None
+    running: tuple[RunRow, ...]
+    ended: tuple[EndRow, ...]
+
+
+class StartResult(Enum):
+    """The upstream's answer to the order to start a run."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OLD = "old"
+    """The attempt isn't higher than one that was stopped or has ended there."""
+    LATE = "late"
+    ROOM = "room"
+    NO_TICKET = "ticket"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_INSTANCE = "instance"
+    NOT_SENT = "not sent"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(frozen=True, slots=True)
+class CallStart:
+    """Order the upstream to start a run; report the answer to `Executor.on_start_answer`."""
+
+    upstream: Upstream
+    task: str
+    attempt: int
+    specification: str
+    deadline_ms: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallStop:
+    """Order the upstream to stop a run; its end shows in the list of ends."""
+
+    upstream: Upstream
+    task: str
+    attempt: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallHold:
+    """Extend the lease (unless ``deadline_ms`` is None) and ask for the lists of runs."""
+
+    upstream: Upstream
+    deadline_ms: int | None
+    fence: int
+    acked: int
+    wait_ms: int
+    sent_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendFrame:
+    """Send a frame to the entry ``peer``."""
+
+    peer: str
+    frame: AgentFrame
+
+
+@dataclass(frozen=True, slots=True)
+class NoteRun:
+    """A decision to log: ``text`` with its ``fields``."""
+
+    text: str
+    fields: Mapping[str, object]
+
+
+ExecutorEffect = CallStart | CallStop | CallHold | SendFrame | NoteRun
+
+
+class _State(Enum):
+    STARTING = "starting"
+    UNCLEAR = "unclear"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class _Run:
+    peer: str
+    session: str
+    order: StartRun
+    resources: Room
+    state: _State
+    ordered_ms: float
+    fence: int
+    progress_ms: float
+    percent: float = -1.0
+    retried: bool = False
+    stop_reason: str = ""
+    stop_sent_ms: float = float("-inf")
+
+
+@dataclass(slots=True)
+class _Peer:
+    """An entry; ``channel`` is None while runs of the last session are still being stopped."""
+
+    channel: Channel[AgentBody, EntryBody] | None = None
+    reported: UpstreamReport | None = None
+    reported_ms: float = float("-inf")
+    sessions: int = 0
+
+
+@dataclass(slots=True)
+class ExecutorCounters:
+    """Counts since the start, for the metrics."""
+
+    started: int = 0
+    rejected: int = 0
+    unclear: int = 0
+    stalled: int = 0
+    silent_owners: int = 0
+    ends: dict[str, int] = field(default_factory=dict)
+
+
+class Executor:
+    """All runs of one agent. Methods append to ``effects``, which the caller takes and performs."""
+
+    def __init__(self, agent: str, incarnation: str, fence: int, max_hold_ms: float) -> None:
+        self.effects: list[ExecutorEffect] = []
+        self.counters = ExecutorCounters()
+        self._agent = agent
+        self._incarnation = incarnation
+        self._fence = fence
+        self._fence_jump = FENCE_JUMP
+        self._max_hold_ms = max_hold_ms
+        self._upstream: Upstream | None = None
+        self._confirmed = False
+        self._lease = LeaseClock()
+        self._acked = 0
+        self._ack_due = False
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._silent: list[str] = []
+        self._zones_out: frozenset[str] = frozenset()
+        self._zones_revision = -1
+        self._draining = False
+        self._unhealthy_until_ms = float("-inf")
+        self._look_sent_ms = float("-inf")
+        self._answered_ms = float("-inf")
+
+    @property
+    def upstream(self) -> Upstream | None:
+        """The upstream in use, if any."""
+        return self._upstream
+
+    @property
+    def running(self) -> int:
+        """Number of runs that occupy room."""
+        return len(self._runs)
+
+    # The upstream.
+
+    def on_upstream(self, upstream: Upstream, now_ms: float) -> None:
+        """Take in what the upstream says of itself."""
+        known = self._upstream
+        if known is None or (known.upstream, known.born_ms, known.address) != (
+            upstream.upstream,
+            upstream.born_ms,
+            upstream.address,
+        ):
+            self._begin_life(upstream, now_ms)
+        elif known != upstream:
+            if upstream.draining and not known.draining:
+                self._note("the upstream is draining", upstream=upstream.upstream)
+            self._upstream = upstream
+        self._report_all(now_ms)
+
+    def on_upstream_gone(self, reason: str, now_ms: float) -> None:
+        """Take in that the upstream has left, and what ran on it has ended."""
+        if self._upstream is None:
+            return
+        self._note("the upstream is gone", upstream=self._upstream.upstream, reason=reason)
+        self._upstream = None
+        self._drop_runs(reason, now_ms)
+        self._report_all(now_ms)
+
+    def _begin_life(self, upstream: Upstream, now_ms: float) -> None:
+        self._note(
+            "a new life of the upstream",
+            upstream=upstream.upstream,
+            born_ms=upstream.born_ms,
+            draining=upstream.draining,
+        )
+        self._drop_runs("a new life of the upstream", now_ms)
+        self._upstream = upstream
+        # Voids orders to an earlier life that may still be carried out in this one.
+        self._fence += 1
+        self._confirmed = False
+        self._lease.reset()
+        self._acked = 0
+        self._ack_due = False
+        self._unhealthy_until_ms = float("-inf")
+        self._look(now_ms)
+
+    def _drop_runs(self, reason: str, now_ms: float) -> None:
+        for key in list(self._runs):
+            self._finish(key, RunEnd.LOST, reason, now_ms)
+
+    def _look(self, now_ms: float) -> None:
+        """Ask for the lists of runs at once, beside a call that may be waiting for an end."""
+        assert self._upstream is not None
+        self._look_sent_ms = now_ms
+        self.effects.append(
+            CallHold(self._upstream, None, self._fence, self._acked, 0, now_ms),
+        )
+
+    def next_hold(self, now_ms: float) -> CallHold | None:
+        """Return the next call that extends the lease and waits for an end, or None if idle."""
+        if self._upstream is None or not self._confirmed or not self._lease.known:
+            return None
+        alive = bool(self._runs)
+        if not alive and not self._ack_due and now_ms - self._answered_ms < IDLE_LOOK_MS:
+            return None
+        deadline_ms = self._lease.deadline_ms(self._max_hold_ms, now_ms) if alive else None
+        wait_ms = HOLD_WAIT_MS if alive else 0
+        return CallHold(self._upstream, deadline_ms, self._fence, self._acked, wait_ms, now_ms)
+
+    def on_hold(self, call: CallHold, runs: Runs | None, now_ms: float) -> None:
+        """Take in the answer to ``call``; None if there was none."""
+        if runs is None or self._upstream is None or not _same_life(call, self._upstream):
+            return
+        if runs.born_ms is not None and runs.born_ms != self._upstream.born_ms:
+            self._on_rebirth(runs.born_ms, now_ms)
+            return
+        self._lease.observe(runs.clock_ms, now_ms)
+        self._answered_ms = now_ms
+        if call.acked >= self._acked:
+            self._ack_due = False
+        for end in runs.ended:
+            self._on_end(end, now_ms)
+        listed = {(row.task, row.attempt): row for row in runs.running}
+        unknown = [row for key, row in listed.items() if key not in self._runs]
+        for row in unknown:
+            self._stop_unknown(row)
+        for key, run in list(self._runs.items()):
+            self._settle(key, run, listed.get(key), call, now_ms)
+        if not self._confirmed and call.fence == self._fence and not unknown:
+            self._confirmed = True
+            self._report_all(now_ms)
+
+    def on_hold_fenced(self, call: CallHold, now_ms: float) -> None:
+        """Take in that the upstream has seen a higher token than ``call`` carried."""
+        if call.fence == self._fence and self._upstream is not None:
+            self._raise_fence()
+            self._look(now_ms)
+
+    def _raise_fence(self) -> None:
+        self._fence += self._fence_jump
+        self._fence_jump *= 2
+        self._note("the upstream has seen a higher fencing token", fence=self._fence)
+
+    def _on_rebirth(self, born_ms: int, now_ms: float) -> None:
+        assert self._upstream is not None
+        known = self._upstream
+        self._begin_life(
+            Upstream(
+                known.upstream,
+                born_ms,
+                known.service,
+                known.zone,
+                known.address,
+                known.capacity,
+                known.labels,
+                known.draining,
+            ),
+            now_ms,
+        )
+
+    def _on_end(self, end: EndRow, now_ms: float) -> None:
+        if end.number <= self._acked:
+            return
+        self._acked = end.number
+        self._ack_due = True
+        key = (end.task, end.attempt)
+        if key in self._runs:
+            run = self._runs[key]
+            how = end.end
+            if how is RunEnd.STOPPED and run.stop_reason == RunEnd.STALLED.value:
+                how = RunEnd.STALLED
+            self._finish(key, how, run.stop_reason, now_ms)
+
+    def _stop_unknown(self, row: RunRow) -> None:
+        """Stop a run of an earlier life of this agent, or one that was given up."""
+        assert self._upstream is not None
+        self._note("stopping a run without an owner", task=row.task, attempt=row.attempt)
+        self.effects.append(CallStop(self._upstream, row.task, row.attempt, self._fence))
+
+    def _settle(
+        self,
+        key: tuple[str, int],
+        run: _Run,
+        row: RunRow | None,
+        call: CallHold,
+        now_ms: float,
+    ) -> None:
+        """Compare a run with the upstream's list."""
+        if row is not None:
+            if run.state is not _State.RUNNING:
+                run.state = _State.RUNNING
+                run.progress_ms = now_ms
+            if row.percent > run.percent:
+                run.percent = row.percent
+                run.progress_ms = now_ms
+            return
+        if run.state is _State.UNCLEAR and call.fence > run.fence:
+            self._finish(key, RunEnd.REJECTED, "the start got no answer", now_ms)
+        elif run.state is _State.RUNNING and call.sent_ms > run.progress_ms:
+            self._finish(key, RunEnd.LOST, "the upstream doesn't list the run", now_ms)
+
+    # Orders.
+
+    def drain(self, now_ms: float) -> None:
+        """Take no more work; runs go on to their end."""
+        self._draining = True
+        self._report_all(now_ms)
+
+    def connect(self, peer: str, now_ms: float) -> None:
+        """Open a session with the entry ``peer`` unless there is one."""
+        if peer not in self._peers:
+            self._peers[peer] = _Peer()
+            self._open_session(peer, now_ms)
+
+    def disconnect(self, peer: str, now_ms: float) -> None:
+        """Forget an entry that has gone for good."""
+        if peer in self._peers:
+            self._end_session(peer, "the entry has gone", now_ms)
+            del self._peers[peer]
+
+    def is_in_touch(self, peer: str, now_ms: float) -> bool:
+        """Return whether the entry ``peer`` has been heard lately."""
+        state = self._peers.get(peer)
+        channel = state.channel if state is not None else None
+        return channel is not None and now_ms - channel.heard_ms < OWNER_SILENCE_MS
+
+    def take_silent(self) -> list[str]:
+        """Return the entries whose connection should be replaced because it went silent."""
+        silent, self._silent = self._silent, []
+        return silent
+
+    def _open_session(self, peer: str, now_ms: float) -> None:
+        state = self._peers[peer]
+        state.sessions += 1
+        state.channel = Channel(f"{self._incarnation}.{state.sessions}", now_ms)
+        state.reported = self._describe(now_ms)
+        state.reported_ms = now_ms
+        self._send(peer, Hello(self._agent, state.reported), now_ms)
+
+    def _end_session(self, peer: str, reason: str, now_ms: float) -> None:
+        state = self._peers[peer]
+        if state.channel is None:
+            return
+        session, state.channel = state.channel.session, None
+        stopped = 0
+        for key, run in list(self._runs.items()):
+            if run.session == session:
+                stopped += 1
+                self._stop(key, reason, now_ms)
+        self._note("session ended", peer=peer, session=session, reason=reason, stopped=stopped)
+
+    def on_frame(self, peer: str, frame: EntryFrame, now_ms: float) -> None:
+        """Take in a frame from the entry ``peer``; frames of ended sessions are ignored."""
+        state = self._peers.get(peer)
+        if state is None or state.channel is None or frame.session != state.channel.session:
+            return
+        if isinstance(frame.body, Goodbye):
+            # It carries no number: an entry that doesn't know the session has none to continue.
+            self._end_session(peer, "the entry doesn't know the session", now_ms)
+            return
+        for body in state.channel.receive(frame, now_ms):
+            match body:
+                case StartRun():
+                    self._on_start(peer, frame.session, body, now_ms)
+                case StopRun():
+                    self._on_stop(peer, body, now_ms)
+                case Notice():
+                    self.set_zones_out(body.revision, frozenset(body.zones_out), now_ms)
+
+    def set_zones_out(self, revision: int, zones: frozenset[str], now_ms: float) -> None:
+        """Take in the zones out of service as of ``revision``; older news is ignored."""
+        if revision <= self._zones_revision:
+            return
+        self._zones_revision = revision
+        if zones != self._zones_out:
+            self._note("zones out of service", zones=sorted(zones), revision=revision)
+            self._zones_out = zones
+            self._report_all(now_ms)
+
+    def _find_obstacle(self, order: StartRun, now_ms: float) -> str:
+        upstream = self._upstream
+        if upstream is None or not self._confirmed:
+            return "no upstream"
+        if upstream.draining or self._draining:
+            return "draining"
+        if upstream.zone in self._zones_out:
+            return "the zone is out of service"
+        if now_ms < self._unhealthy_until_ms:
+            return "the upstream is unhealthy"
+        if any(task == order.task for task, _ in self._runs):
+            return BUSY_TASK
+        if not order.resources.fits(self._free()):
+            return NO_ROOM
+        return ""
+
+    def _on_start(self, peer: str, session: str, order: StartRun, now_ms: float) -> None:
+        obstacle = self._find_obstacle(order, now_ms)
+        if obstacle:
+            for key in [key for key in self._runs if key[0] == order.task]:
+                self._stop(key, "superseded", now_ms)
+            self._reject(peer, order, obstacle, now_ms)
+            return
+        key = (order.task, order.attempt)
+        self._runs[key] = _Run(
+            peer,
+            session,
+            order,
+            order.resources,
+            _State.STARTING,
+            now_ms,
+            self._fence,
+            now_ms,
+        )
+        self._call_start(self._runs[key], now_ms)
+        self._report_all(now_ms)
+
+    def _call_start(self, run: _Run, now_ms: float) -> None:
+        assert self._upstream is not None
+        run.fence = self._fence
+        run.ordered_ms = now_ms
+        deadline_ms = self._lease.deadline_ms(self._max_hold_ms, now_ms)
+        order = run.order
+        self.effects.append(
+            CallStart(
+                self._upstream,
+                order.task,
+                order.attempt,
+                order.specification,
+                deadline_ms,
+                self._fence,
+            )
+        )
+
+    def _reject(self, peer: str, order: StartRun, reason: str, now_ms: float) -> None:
+        self.counters.rejected += 1
+        self._note(
+            "start rejected", task=order.task, attempt=order.attempt, peer=peer, reason=reason
+        )
+        ended = RunEnded(
+            order.task, order.attempt, RunEnd.REJECTED.value, 0.0, reason, self._free()
+        )
+        self._send(peer, ended, now_ms)
+
+    def on_start_answer(
+        self, call: CallStart, result: StartResult, clock_ms: float | None, now_ms: float
+    ) -> None:
+        """Take in the upstream's answer to the order to start a run, and its clock if known."""
+        if clock_ms is not None and call.upstream == self._upstream:
+            self._lease.observe(clock_ms, now_ms)
+        key = (call.task, call.attempt)
+        run = self._runs.get(key)
+        if run is None or run.state is not _State.STARTING:
+            return
+        match result:
+            case StartResult.STARTED:
+                self.counters.started += 1
+                run.state = _State.RUNNING
+                run.progress_ms = now_ms
+                if run.stop_reason:
+                    self._call_stop(run, now_ms)
+            case StartResult.UNANSWERED:
+                self._on_unclear_start(run, now_ms)
+            case StartResult.FENCED | StartResult.LATE if not run.retried and not run.stop_reason:
+                if result is StartResult.FENCED and call.fence == self._fence:
+                    self._raise_fence()
+                run.retried = True
+                self._call_start(run, now_ms)
+            case StartResult.UNHEALTHY | StartResult.OTHER_INSTANCE | StartResult.NOT_SENT:
+                self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
+                self._finish(key, RunEnd.REJECTED, result.value, now_ms)
+                self._report_all(now_ms)
+            case _:
+                self._finish(key, RunEnd.REJECTED, result.value, now_ms)
+
+    def _on_unclear_start(self, run: _Run, now_ms: float) -> None:
+        self.counters.unclear += 1
+        run.state = _State.UNCLEAR
+        if run.fence >= self._fence:
+            self._fence += 1
+        self._note("a start got no answer", task=run.order.task, attempt=run.order.attempt)
+        self._look(now_ms)
+
+    def _on_stop(self, peer: str, order: StopRun, now_ms: float) -> None:
+        key = (order.task, order.attempt)
+        run = self._runs.get(key)
+        if run is not None and run.peer == peer:
+            self._stop(key, "stopped by its entry", now_ms)
+
+    def _stop(self, key: tuple[str, int], reason: str, now_ms: float) -> None:
+        run = self._runs[key]
+        if run.stop_reason:
+            return
+        run.stop_reason = reason
+        self._note("stopping a run", task=key[0], attempt=key[1], reason=reason)
+        if run.state is _State.RUNNING:
+            self._call_stop(run, now_ms)
+
+    def _call_stop(self, run: _Run, now_ms: float) -> None:
+        assert self._upstream is not None
+        run.stop_sent_ms = now_ms
+        self.effects.append(
+            CallStop(self._upstream, run.order.task, run.order.attempt, self._fence)
+        )
+
+    def _finish(self, key: tuple[str, int], how: RunEnd, reason: str, now_ms: float) -> None:
+        run = self._runs.pop(key)
+        self.counters.ends[how.value] = self.counters.ends.get(how.value, 0) + 1
+        elapsed_ms = 0.0 if how is RunEnd.REJECTED else now_ms - run.ordered_ms
+        if how is not RunEnd.DONE:
+            self._note(
+                "run ended",
+                task=key[0],
+                attempt=key[1],
+                how=how.value,
+                reason=reason,
+                elapsed_ms=round(elapsed_ms),
+            )
+        state = self._peers.get(run.peer)
+        if state is not None and state.channel is not None and state.channel.session == run.session:
+            free = self._free()
+            ended = RunEnded(key[0], key[1], how.value, elapsed_ms, reason, free)
+            self._send(run.peer, ended, now_ms)
+        self._report_all(now_ms)
+
+    # Time.
+
+    def tick(self, now_ms: float) -> None:
+        """Do what time demands: silent entries, unanswered orders, leases, repetitions."""
+        self._watch_upstream(now_ms)
+        for key, run in list(self._runs.items()):
+            self._watch_run(key, run, now_ms)
+        for peer in list(self._peers):
+            self._watch_peer(peer, now_ms)
+        self._report_all(now_ms)
+
+    def _watch_upstream(self, now_ms: float) -> None:
+        if self._upstream is None:
+            return
+        unclear = not self._confirmed or any(
+            run.state is _State.UNCLEAR for run in self._runs.values()
+        )
+        if unclear and now_ms - self._look_sent_ms >= LOOK_RETRY_MS:
+            self._look(now_ms)
+        if self._runs and now_ms > self._lease.expired_by_ms():
+            self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
+            self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
+
+    def _watch_run(self, key: tuple[str, int], run: _Run, now_ms: float) -> None:
+        if run.state is not _State.RUNNING:
+            return
+        if run.stop_reason:
+            if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
+                self._call_stop(run, now_ms)
+            return
+        patience_ms = max(STALL_MS, STALL_SHARE * run.order.expected_ms)
+        if now_ms - run.progress_ms >= patience_ms:
+            self.counters.stalled += 1
+            self._stop(key, RunEnd.STALLED.value, now_ms)
+
+    def _watch_peer(self, peer: str, now_ms: float) -> None:
+        state = self._peers[peer]
+        channel = state.channel
+        if channel is None:
+            if not any(run.peer == peer for run in self._runs.values()):
+                self._open_session(peer, now_ms)
+            return
+        silent_ms = now_ms - channel.heard_ms
+        owns = any(run.session == channel.session for run in self._runs.values())
+        if silent_ms >= OWNER_SILENCE_MS and owns:
+            self.counters.silent_owners += 1
+            self._silent.append(peer)
+            self._end_session(peer, f"the entry was silent for {silent_ms:.0f} ms", now_ms)
+            return
+        if silent_ms >= 2 * OWNER_SILENCE_MS:
+            self._silent.append(peer)
+            self._end_session(peer, "the entry is away", now_ms)
+            return
+        for frame in channel.resend(now_ms):
+            self.effects.append(SendFrame(peer, frame))
+        if now_ms - channel.sent_ms >= BEAT_MS:
+            self._send(peer, None, now_ms)
+
+    # Reports.
+
+    def _free(self) -> Room:
+        if self._upstream is None:
+            return Room()
+        free = self._upstream.capacity
+        for run in self._runs.values():
+            free = free.minus(run.resources)
+        return free
+
+    def _describe(self, now_ms: float) -> UpstreamReport:
+        upstream = self._upstream
+        if upstream is None or not self._confirmed:
+            return UpstreamReport("", "", "", Room(), Room(), [])
+        return UpstreamReport(
+            upstream.upstream,
+            upstream.service,
+            upstream.zone,
+            upstream.capacity,
+            self._free(),
+            list(upstream.labels),
+            upstream.draining or self._draining or upstream.zone in self._zones_out,
+            now_ms >= self._unhealthy_until_ms,
+        )
+
+    def _report_all(self, now_ms: float) -> None:
+        """Tell each entry of a change, at most every ``REPORT_MS``."""
+        report: UpstreamReport | None = None
+        for peer, state in self._peers.items():
+            if state.channel is None or now_ms - state.reported_ms < REPORT_MS:
+                continue
+            report = report or self._describe(now_ms)
+            if report != state.reported:
+                state.reported = report
+                state.reported_ms = now_ms
+                self._send(peer, Report(report), now_ms)
+
+    def _send(self, peer: str, body: AgentBody | None, now_ms: float) -> None:
+        channel = self._peers[peer].channel
+        if channel is None:
+            return
+        try:
+            self.effects.append(SendFrame(peer, channel.send(body, now_ms)))
+        except ChannelFullError as error:
+            self._end_session(peer, str(error), now_ms)
+
+    def _note(self, text: str, **fields: object) -> None:
+        self.effects.append(NoteRun(text, fields))
+
+
+def _same_life(call: CallHold, upstream: Upstream) -> bool:
+    return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
--- /dev/null
+++ b/snipewell/jobagentd.py
@@ -0,0 +1,271 @@
+"""The agent's daemon: curio tasks that connect the `Executor` to its upstream and the entries."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import curio
+import zmq
+
+from .clock import Clock
+from .daemon import TICK_MS, CoreTask, flush_log, freeze_memory, serve_metrics, wait_for_stop
+from .desired import Desired, OperatorKeys
+from .directory import ENTRIES_PREFIX, Directory
+from .executor import (
+    START_TIMEOUT_MS,
+    CallHold,
+    CallStart,
+    CallStop,
+    Executor,
+    NoteRun,
+    Runs,
+    SendFrame,
+    StartResult,
+    Upstream,
+)
+from .ids import AgentId, new_incarnation
+from .jobentryd import JOB_TRANSPORT, STOP_RESERVE_MS
+from .log import Log
+from .logbuffer import LogBuffer
+from .metrics import Metrics
+from .order import EntryFrame, decode_entry_frame, encode_frame
+from .server import HttpServer, ServerLimits
+from .store import Changes, Listing, Watchable
+from .storetask import follow
+from .transport import Codec, Dealers, agent_identity
+from .web import Request, Response
+
+AGENT_CODEC = Codec(encode_frame, decode_entry_frame)
+HOLD_RETRY_MS = 40.0
+"""Pause after a call for the lists of runs failed at once."""
+CONNECT_MS = 200.0
+"""Pause between looks at which entries to be connected to."""
+
+
+class UpstreamOrders(Protocol):
+    """The calls to the upstream that the daemon needs."""
+
+    async def start(self, call: CallStart, timeout_ms: float) -> tuple[StartResult, float | None]:
+        """Order a start; return the answer and the upstream's clock, if it told it."""
+        ...
+
+    async def stop(self, call: CallStop, timeout_ms: float) -> bool:
+        """Order a stop; return whether the upstream acknowledged it."""
+        ...
+
+    async def hold(self, call: CallHold, timeout_ms: float) -> Runs | StartResult:
+        """Extend the lease and return the lists, or why there are none."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class JobAgentSettings:
+    """Settings of the daemon. Addresses are ``ip:port``.
+
+    ``grace_ms`` is the time from SIGTERM to SIGKILL.
+    """
+
+    name: str
+    zone: str
+    registration_address: str
+    metrics_port: int
+    max_hold_ms: float
+    grace_ms: float
+
+
+class JobAgent:
+    """The daemon. ``orders`` calls the upstream, ``store`` is the platform's."""
+
+    def __init__(
+        self,
+        settings: JobAgentSettings,
+        store: Watchable,
+        keys: OperatorKeys,
+        orders: UpstreamOrders,
+        clock: Clock,
+        rng: Random,
+        log: Log,
+        buffer: LogBuffer,
+    ) -> None:
+        self.metrics = Metrics()
+        self._settings = settings
+        self._store = store
+        self._keys = keys
+        self._orders = orders
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._buffer = buffer
+        self._incarnation = new_incarnation()
+        # The time of day orders the tokens of two lives; the core raises one that is too low.
+        fence = clock.wall_ms()
+        self._core = Executor(settings.name, self._incarnation, fence, settings.max_hold_ms)
+        self._task = CoreTask(clock, self._perform)
+        self._desired = Desired(keys)
+        self._directory = Directory()
+        self._dealers: Dealers | None = None
+        self._holding = False
+        self._hold_after_ms = 0.0
+        self._declare_metrics()
+
+    async def on_upstream(self, upstream: Upstream) -> None:
+        """Take in what the upstream says of itself."""
+        await self._task.put(self._core.on_upstream, upstream)
+
+    async def on_upstream_gone(self, reason: str) -> None:
+        """Take in that the upstream has left."""
+        await self._task.put(self._core.on_upstream_gone, reason)
+
+    def _declare_metrics(self) -> None:
+        core, counters = self._core, self._core.counters
+        self.metrics.gauge("runs", lambda: core.running)
+        self.metrics.gauge("starts", lambda: counters.started)
+        self.metrics.gauge("rejected_starts", lambda: counters.rejected)
+        self.metrics.gauge("unclear_starts", lambda: counters.unclear)
+        self.metrics.gauge("stalled_runs", lambda: counters.stalled)
+        self.metrics.gauge("silent_owners", lambda: counters.silent_owners)
+        self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
+
+    async def _perform(self) -> None:
+        """Carry out the effects of the core, and keep the lease of what runs."""
+        now_ms = self._clock.now_ms()
+        if not self._holding and now_ms >= self._hold_after_ms:
+            hold = self._core.next_hold(now_ms)
+            if hold is not None:
+                self._holding = True
+                await curio.spawn(self._hold, hold, True, daemon=True)
+        effects, self._core.effects[:] = list(self._core.effects), []
+        for effect in effects:
+            match effect:
+                case SendFrame():
+                    if self._dealers is not None:
+                        await self._dealers.send(effect.peer, effect.frame)
+                case CallStart():
+                    await curio.spawn(self._start, effect, daemon=True)
+                case CallStop():
+                    await curio.spawn(self._stop, effect, daemon=True)
+                case CallHold():
+                    await curio.spawn(self._hold, effect, False, daemon=True)
+                case NoteRun():
+                    self._log.info("executor", effect.text, **effect.fields)
+
+    async def _start(self, call: CallStart) -> None:
+        began_ms = self._clock.now_ms()
+        result, clock_ms = await self._orders.start(call, START_TIMEOUT_MS)
+        elapsed_ms = self._clock.now_ms() - began_ms
+        self.metrics.observe_ms("start_call", elapsed_ms, result=result.value)
+        await self._task.put(self._core.on_start_answer, call, result, clock_ms)
+
+    async def _stop(self, call: CallStop) -> None:
+        if not await self._orders.stop(call, START_TIMEOUT_MS):
+            self._log.info("executor", "a stop got no answer", task=call.task, attempt=call.attempt)
+
+    async def _hold(self, call: CallHold, regular: bool) -> None:
+        """Perform a call; a regular one is followed by the next one."""
+        answer = await self._orders.hold(call, START_TIMEOUT_MS)
+        if regular:
+            self._holding = False
+        match answer:
+            case Runs():
+                await self._task.put(self._core.on_hold, call, answer)
+            case StartResult.FENCED:
+                await self._task.put(self._core.on_hold_fenced, call)
+            case _:
+                self._hold_after_ms = self._clock.now_ms() + HOLD_RETRY_MS
+                self._log.info("executor", "no lists of runs", reason=answer.value)
+                await self._task.put(self._core.on_hold, call, None)
+
+    async def _on_frame(self, peer: str, frame: EntryFrame) -> None:
+        await self._task.put(self._core.on_frame, peer, frame)
+
+    async def _on_zones(self, news: Listing | Changes) -> None:
+        if self._desired.apply(news):
+            desired = self._desired
+            await self._task.put(self._core.set_zones_out, int(desired.revision), desired.zones_out)
+
+    async def _on_entries(self, news: Listing | Changes) -> None:
+        self._directory.apply(news, self._clock.now_ms())
+        for key in self._directory.unreadable:
+            self._log.error("store", "registration can't be read", key=key)
+
+    async def _keep_connected(self) -> None:
+        """Follow the directory with connections and sessions."""
+        assert self._dealers is not None
+        while True:
+            entries = self._directory.entries(self._clock.now_ms())
+            for name, entry in entries.items():
+                if self._dealers.peers().get(name) == entry.address:
+                    continue
+                try:
+                    await self._dealers.connect(name, entry.address)
+                except zmq.ZMQError as error:
+                    self._log.error("entries", "bad address", entry=name, reason=str(error))
+                    continue
+                self._log.info("entries", "connecting", entry=name, address=entry.address)
+                await self._task.put(self._core.connect, name)
+            for name in self._dealers.peers().keys() - entries.keys():
+                if not self._core.is_in_touch(name, self._clock.now_ms()):
+                    self._log.info("entries", "gone", entry=name)
+                    await self._task.put(self._core.disconnect, name)
+                    await self._dealers.disconnect(name)
+            for name in self._core.take_silent():
+                await self._dealers.replace(name)
+            await curio.sleep(CONNECT_MS / 1000)
+
+    async def run(self, handle_registration: Callable[[Request], Awaitable[Response]]) -> None:
+        """Run until SIGTERM, then let the runs end that can end in time."""
+        settings = self._settings
+        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        identity = agent_identity(AgentId(settings.name), self._incarnation)
+        self._dealers = Dealers(
+            context, identity, self._on_frame, limits=JOB_TRANSPORT, codec=AGENT_CODEC
+        )
+        host, _, port = settings.registration_address.rpartition(":")
+        registration = HttpServer(handle_registration, ServerLimits(connections=64))
+        await registration.start(host, int(port))
+        tasks = [
+            await curio.spawn(self._task.run, daemon=True),
+            await curio.spawn(self._task.run_ticks, self._core.tick, daemon=True),
+            await curio.spawn(flush_log, self._buffer, daemon=True),
+            await curio.spawn(self._keep_connected, daemon=True),
+            await curio.spawn(
+                follow,
+                self._store,
+                ENTRIES_PREFIX,
+                self._on_entries,
+                self._log,
+                self._rng,
+                daemon=True,
+            ),
+            await curio.spawn(
+                follow,
+                self._store,
+                self._keys.prefix,
+                self._on_zones,
+                self._log,
+                self._rng,
+                daemon=True,
+            ),
+        ]
+        await serve_metrics(self.metrics, host, settings.metrics_port, self._log)
+        self._log.info("agent", "start", zone=settings.zone, incarnation=self._incarnation)
+        freeze_memory()
+        await wait_for_stop(lambda: self._log.info("agent", "reload"))
+        await self._drain()
+        for task in tasks:
+            await task.cancel()
+        await self._dealers.close()
+        self._buffer.flush()
+
+    async def _drain(self) -> None:
+        """Take no more work and wait for the runs to end."""
+        until_ms = self._clock.now_ms() + self._settings.grace_ms - STOP_RESERVE_MS
+        self._log.info("agent", "stop", runs=self._core.running)
+        await self._task.put(self._core.drain)
+        await curio.sleep(2 * TICK_MS / 1000)
+        while self._core.running and self._clock.now_ms() < until_ms:
+            await curio.sleep(TICK_MS / 1000)
+        self._log.info("agent", "stopped", runs=self._core.running)
--- /dev/null
+++ b/snipewell/jobentryd.py
@@ -0,0 +1,259 @@
+"""The entry's daemon for jobs: curio tasks that connect the `Scheduler` to clients and agents."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+import curio
+import zmq
+
+from .agentsession import SendAgent
+from .clock import Clock
+from .daemon import CoreTask, flush_log, freeze_memory, serve_metrics, wait_for_stop
+from .desired import Desired, OperatorKeys
+from .directory import ENTRIES_PREFIX, EntryAddress
+from .ids import new_incarnation
+from .job import Catalog, JobEnded, JobOutcome, JobRefused, JobSpec, Queue, QueueName
+from .log import Log
+from .logbuffer import LogBuffer
+from .metrics import Metrics
+from .order import AgentFrame, decode_agent_frame, encode_frame
+from .scheduler import Answer, Note, Scheduler
+from .server import HttpServer, ServerLimits
+from .store import Changes, Listing
+from .storetask import LeasedStore, Registration, follow
+from .transport import Codec, Router, TransportLimits
+from .web import Request, Response
+
+ENTRY_CODEC = Codec(encode_frame, decode_agent_frame)
+JOB_TRANSPORT = TransportLimits(
+    queue_messages=5_000, max_message_bytes=4 * 1024 * 1024, ping_ms=300, silence_ms=900
+)
+"""A connection that went silent is replaced when an entry's silence ends its sessions."""
+DRAIN_NOTICE_MS = 2_500.0
+"""How long a stopping entry still takes requests: the balancer looks once a second and takes an
+entry out after two misses."""
+STOP_RESERVE_MS = 400.0
+"""Part of the grace period kept to answer and exit."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobEntrySettings:
+    """Settings of the daemon. Addresses are ``ip:port``.
+
+    ``grace_ms`` is the time from SIGTERM to SIGKILL.
+    """
+
+    name: str
+    zone: str
+    client_address: str
+    readiness_address: str
+    agent_address: str
+    metrics_port: int
+    grace_ms: float
+
+
+class JobEntry:
+    """The daemon. ``store`` and ``keys`` tell how to reach the platform's store."""
+
+    def __init__(
+        self,
+        settings: JobEntrySettings,
+        store: LeasedStore,
+        keys: OperatorKeys,
+        clock: Clock,
+        rng: Random,
+        log: Log,
+        buffer: LogBuffer,
+    ) -> None:
+        self.metrics = Metrics()
+        self._settings = settings
+        self._store = store
+        self._keys = keys
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._buffer = buffer
+        self._core = Scheduler(rng)
+        self._task = CoreTask(clock, self._perform)
+        self._desired = Desired(keys)
+        self._replies: dict[int, curio.Queue] = {}
+        self._requests = 0
+        self._stopping = False
+        self._router: Router | None = None
+        self._declare_metrics()
+
+    @property
+    def catalog(self) -> Catalog | None:
+        """The catalog in force, None before the first."""
+        return self._core.catalog
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should be sent here."""
+        return self._core.catalog is not None and not self._stopping
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the daemon has been told to stop."""
+        return self._stopping
+
+    def count_pending(self, queue: QueueName) -> int:
+        """Return the number of jobs of ``queue`` for which no task has started."""
+        return self._core.count_pending(queue)
+
+    async def submit(self, queue: Queue, spec: JobSpec, client_wait_ms: float) -> JobOutcome:
+        """Return the outcome of a job. If the calling task is cancelled, the client has left."""
+        self._requests += 1
+        request = self._requests
+        began_ms = self._clock.now_ms()
+        reply: curio.Queue = curio.Queue(1)
+        self._replies[request] = reply
+        try:
+            await self._task.put(self._core.submit, request, queue, spec, client_wait_ms)
+            outcome: JobOutcome = await reply.get()
+        except curio.CancelledError:
+            await self._task.put(self._core.on_client_gone, request)
+            raise
+        finally:
+            del self._replies[request]
+        self._count(outcome, queue, self._clock.now_ms() - began_ms)
+        return outcome
+
+    def _count(self, outcome: JobOutcome, queue: Queue, elapsed_ms: float) -> None:
+        match outcome:
+            case JobEnded():
+                name = outcome.state.value
+            case JobRefused():
+                name = "refused"
+            case _:
+                name = "unknown"
+        self.metrics.count("jobs", outcome=name, priority=str(queue.priority))
+        self.metrics.observe_ms("job_duration", elapsed_ms, outcome=name)
+
+    def _declare_metrics(self) -> None:
+        core, counters = self._core, self._core.counters
+        self.metrics.gauge("open_jobs", lambda: core.open_jobs)
+        self.metrics.gauge("waiting_tasks", lambda: core.waiting_tasks)
+        self.metrics.gauge("agents", lambda: len(core.sessions.views()))
+        self.metrics.gauge("starts", lambda: counters.starts)
+        self.metrics.gauge("rejected_starts", lambda: counters.rejected_starts)
+        self.metrics.gauge("lost_runs", lambda: counters.lost_runs)
+        self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
+
+    async def _perform(self) -> None:
+        """Carry out the effects of the core."""
+        self._core.place(self._clock.now_ms())
+        effects, self._core.effects[:] = list(self._core.effects), []
+        for effect in effects:
+            match effect:
+                case SendAgent():
+                    if self._router is not None:
+                        await self._router.send(effect.peer, effect.frame)
+                case Answer():
+                    reply = self._replies.get(effect.request)
+                    if reply is not None:
+                        await reply.put(effect.outcome)
+                case Note():
+                    self._log.info("scheduler", effect.text, **effect.fields)
+
+    async def _on_frame(self, peer: str, frame: AgentFrame) -> None:
+        await self._task.put(self._core.on_frame, peer, frame)
+
+    async def _on_desired(self, news: Listing | Changes) -> None:
+        desired = self._desired
+        if not desired.apply(news):
+            return
+        if desired.error:
+            self._log.error("scheduler", "catalog not in force", reason=desired.error)
+        await self._task.put(self._apply_desired)
+
+    def _apply_desired(self, now_ms: float) -> None:
+        if self._desired.catalog is not None:
+            self._core.set_catalog(self._desired.catalog)
+        self._core.set_zones_out(self._desired.revision, self._desired.zones_out, now_ms)
+
+    def _reload(self) -> None:
+        self._log.info("entry", "reload", applied="nothing that may change at run time")
+
+    async def run(
+        self,
+        handle: Callable[[Request], Awaitable[Response]],
+        handle_readiness: Callable[[Request], Awaitable[Response]],
+        client_limits: ServerLimits,
+    ) -> None:
+        """Serve until SIGTERM, then finish the requests in flight."""
+        settings = self._settings
+        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        incarnation = new_incarnation()
+        self._router = Router(
+            context,
+            f"{settings.name}.{incarnation}",
+            settings.agent_address,
+            self._on_frame,
+            limits=JOB_TRANSPORT,
+            codec=ENTRY_CODEC,
+        )
+        address = EntryAddress(settings.name, self._router.address, incarnation)
+        registration = Registration(self._store, address, self._clock, self._log, self._rng)
+        clients = HttpServer(handle, client_limits, self._on_error)
+        readiness = HttpServer(handle_readiness, ServerLimits(connections=64))
+        tasks = [
+            await curio.spawn(self._task.run, daemon=True),
+            await curio.spawn(self._task.run_ticks, self._core.tick, daemon=True),
+            await curio.spawn(flush_log, self._buffer, daemon=True),
+            await curio.spawn(
+                follow,
+                self._store,
+                self._keys.prefix,
+                self._on_desired,
+                self._log,
+                self._rng,
+                daemon=True,
+            ),
+            await curio.spawn(registration.run, daemon=True),
+            await curio.spawn(
+                follow,
+                self._store,
+                ENTRIES_PREFIX + settings.name,
+                registration.on_own_key,
+                self._log,
+                self._rng,
+                daemon=True,
+            ),
+        ]
+        await self._router.start()
+        await clients.start(*_split(settings.client_address))
+        await readiness.start(*_split(settings.readiness_address))
+        host = _split(settings.client_address)[0]
+        await serve_metrics(self.metrics, host, settings.metrics_port, self._log)
+        self._log.info("entry", "start", zone=settings.zone, incarnation=incarnation)
+        freeze_memory()
+        await wait_for_stop(self._reload)
+        await self._stop(clients, registration)
+        for task in tasks:
+            await task.cancel()
+        await self._router.close()
+        self._buffer.flush()
+
+    async def _stop(self, clients: HttpServer, registration: Registration) -> None:
+        """Leave the balancer's rotation, answer what is in flight, and end."""
+        began_ms = self._clock.now_ms()
+        self._stopping = True
+        self._log.info("entry", "stop", open_jobs=self._core.open_jobs)
+        clients.draining = True
+        await curio.sleep(DRAIN_NOTICE_MS / 1000)
+        left_ms = self._settings.grace_ms - STOP_RESERVE_MS - (self._clock.now_ms() - began_ms)
+        cut = await clients.stop(left_ms)
+        await registration.withdraw()
+        self._log.info("entry", "stopped", cut_requests=cut)
+
+    def _on_error(self, where: str, error: BaseException) -> None:
+        self._log.error("entry", "handler failed", where=where, error=repr(error))
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/snipewell/platform/store.py
@@ -0,0 +1,167 @@
+"""The platform's metadata store, as the product's `Listing` and `Changes`."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TypeVar
+
+import msgspec
+
+from ..client import ExchangeError, HttpPool, NotSentError
+from ..clock import Clock
+from ..daemon import SILENCE_MS
+from ..ids import Revision
+from ..store import Change, Changes, Listing, StoreUnreachableError, Value
+from ..web import Request, Response
+
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    """An item or an event; ``value`` is base64, ``deleted`` is set in events alone."""
+
+    key: str
+    revision: int = 0
+    value: str = ""
+    lease: int | str = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    atRevision: int  # noqa: N815
+    hasMore: bool = False  # noqa: N815
+
+
+class _Watched(msgspec.Struct):
+    atRevision: int  # noqa: N815
+    events: list[_Item] = []
+
+
+class _Lease(msgspec.Struct):
+    lease: int | str
+    ttlMs: float = 0  # noqa: N815
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease: int | str
+
+
+class _Transaction(msgspec.Struct):
+    writes: list[_Write] = []
+    deletes: list[str] = []
+
+
+class PlatformStore:
+    """The store at ``address``. Every method raises StoreUnreachableError without an answer."""
+
+    def __init__(self, address: str, clock: Clock, timeout_ms: float) -> None:
+        self._address = address
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+        # Watches wait on connections of their own.
+        self._calls = HttpPool(address, 4)
+        self._watches = HttpPool(address, 8, silence_ms=SILENCE_MS)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all values under ``prefix``. Pages may be of different moments.
+
+        The revision is that of the first page, so that a watch from there repeats what changed
+        between the pages.
+        """
+        sent_at_ms = self._clock.now_ms()
+        values: dict[str, Value] = {}
+        revision = -1
+        after = ""
+        while True:
+            query = {"pathPrefix": prefix} | ({"after": after} if after else {})
+            request = Request("GET", "/snipewell/kv-range", query)
+            page = self._decode(await self._call(request, (200,)), _Range)
+            revision = page.atRevision if revision < 0 else revision
+            for item in page.items:
+                values[item.key] = Value(
+                    Revision(item.revision), self._value(item), str(item.lease)
+                )
+            if not page.hasMore or not page.items:
+                return Listing(sent_at_ms, Revision(revision), values)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: Revision, wait_ms: float) -> Changes:
+        """Return the changes under ``prefix`` after a revision, waiting at most ``wait_ms``."""
+        sent_at_ms = self._clock.now_ms()
+        query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(int(wait_ms))}
+        request = Request("GET", "/snipewell/kv-watch", query)
+        response = await self._call(request, (200, 410), wait_ms, self._watches)
+        if response.status == 410:
+            return Changes(sent_at_ms, after, [], compacted=True)
+        answer = self._decode(response, _Watched)
+        changes = [
+            Change(event.key, Revision(event.revision), self._value(event), event.deleted)
+            for event in answer.events
+        ]
+        return Changes(sent_at_ms, Revision(answer.atRevision), changes)
+
+    async def lease(self, ttl_ms: int) -> str:
+        """Return a new lease."""
+        body = msgspec.json.encode({"ttlMs": ttl_ms})
+        request = Request("POST", "/snipewell/kv-lease", {}, _JSON, body)
+        answer = self._decode(await self._call(request, (200,)), _Lease)
+        return str(answer.lease)
+
+    async def renew(self, lease: str) -> bool:
+        """Extend ``lease``; return False if it has ended."""
+        request = Request("POST", f"/snipewell/kv-keep/{lease}", {}, _JSON, b"{}")
+        return (await self._call(request, (200, 404))).status == 200
+
+    async def end_lease(self, lease: str) -> None:
+        """End ``lease``, which removes its keys."""
+        request = Request("DELETE", f"/snipewell/kv-lease-end/{lease}")
+        await self._call(request, (200, 204, 404))
+
+    async def put(self, key: str, value: bytes, lease: str) -> bool:
+        """Write ``key`` under ``lease`` whatever it holds; return False if the lease has ended."""
+        text = base64.b64encode(value).decode()
+        write = _Write(key, text, int(lease) if lease.isdigit() else lease)
+        body = msgspec.json.encode(_Transaction(writes=[write]))
+        request = Request("POST", "/snipewell/kv-txn", {}, _JSON, body)
+        return (await self._call(request, (200, 404))).status == 200
+
+    async def _call(
+        self,
+        request: Request,
+        expected: tuple[int, ...],
+        wait_ms: float = 0.0,
+        pool: HttpPool | None = None,
+    ) -> Response:
+        try:
+            response = await (pool or self._calls).request(request, self._timeout_ms + wait_ms)
+        except (NotSentError, ExchangeError) as error:
+            raise StoreUnreachableError(self._address, error.reason) from None
+        if response.status not in expected:
+            reason = f"{request.method} {request.path} was answered with {response.status}"
+            raise StoreUnreachableError(self._address, reason)
+        return response
+
+    def _decode(self, response: Response, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(response.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise StoreUnreachableError(self._address, f"malformed answer: {error}") from None
+
+    def _value(self, item: _Item) -> bytes:
+        try:
+            return base64.b64decode(item.value, validate=True)
+        except (binascii.Error, ValueError) as error:
+            # Foreign bytes under one key are no reason to lose the others.
+            return f"\x00not base64: {error}".encode()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._calls.close()
+        await self._watches.close()
+
+
+_JSON = {"content-type": "application/json"}
--- a/snipewell/server.py
+++ b/snipewell/server.py
@@ -16,6 +16,7 @@
 import h11
 from curio import socket
 
+from .keepalive import probe_silence
 from .outcome import Invalid, Step, Unknown
 from .web import Request, Response
 
@@ -33,7 +34,8 @@
     """Bounds of a server. Times are in milliseconds, sizes in bytes.
 
     ``head_timeout_ms`` counts from the first byte of a request, ``body_timeout_ms`` from the end
-    of its head, ``idle_timeout_ms`` between two requests of a connection.
+    of its head, ``idle_timeout_ms`` between two requests of a connection. With ``silence_ms``, a
+    peer that leaves keep-alive probes unanswered for that long counts as gone.
     """
 
     connections: int = 2_000
@@ -43,6 +45,7 @@
     body_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
     write_timeout_ms: float = 10_000
+    silence_ms: float = 0
 
 
 class CallerGoneError(curio.TaskCancelled):
@@ -122,6 +125,8 @@
                 await curio.sleep(0.02)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.limits.silence_ms > 0:
+                probe_silence(sock, self.limits.silence_ms)
             connection = _Connection(self, sock, f"{peer[0]}:{peer[1]}")
             if len(self._connections) >= self.limits.connections:
                 await curio.spawn(connection.refuse, daemon=True)
--- a/snipewell/store.py
+++ b/snipewell/store.py
@@ -270,6 +270,18 @@
             raise StoreUnreachableError(self._address, f"malformed answer: {error}") from None
 
 
+class Watchable(Protocol):
+    """What a `Follower` needs of a store; both methods raise StoreUnreachableError."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all values under ``prefix``."""
+        ...
+
+    async def watch(self, prefix: str, after: Revision, wait_ms: float) -> Changes:
+        """Return the changes under ``prefix`` after a revision."""
+        ...
+
+
 class Follower:
     """Follows all changes under a prefix, and lists anew when the store has forgotten some.
 
@@ -277,7 +289,7 @@
     changes or went back to an earlier revision.
     """
 
-    def __init__(self, store: Store, prefix: str) -> None:
+    def __init__(self, store: Watchable, prefix: str) -> None:
         self._store = store
         self._prefix = prefix
         self._after: Revision | None = None
