Void orders to an unknown new life of an upstream, and frames that were held up

Cause: a simulated fleet showed two runs of one task at one time: an agent that woke up acted on frames of a session its entry had given up, and runs that had begun in a new life of the upstream were given up as lost with the old one.

Change: a frame older than the limit on an entry's silence ends its session; runs of a reborn upstream stay unclear until its list of runs is known; what a new life already runs may hold a lease of full length. tests/jobsim.py plays the cores under twelve faults.

--- a/snipewell/channel.py
+++ b/snipewell/channel.py
@@ -78,6 +78,11 @@
         self._unacked.append((number, body))
         return Frame(self.session, number, self._received, now_ms, body)
 
+    def age_ms(self, frame: Frame[In], now_ms: float) -> float:
+        """Return how long ago ``frame`` was sent, beyond the fastest transit seen."""
+        offset_ms = now_ms - frame.sent_ms
+        return 0.0 if self._offset_ms is None else max(0.0, offset_ms - self._offset_ms)
+
     def receive(self, frame: Frame[In], now_ms: float) -> list[In]:
         """Take in a frame of this session; return its body unless it is a repetition or early."""
         offset_ms = now_ms - frame.sent_ms
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -198,6 +198,8 @@
     progress_ms: float
     percent: float = -1.0
     retried: bool = False
+    missing: RunEnd = RunEnd.REJECTED
+    """How the run has ended if its start was unclear and the upstream doesn't list it."""
     stop_reason: str = ""
     stop_sent_ms: float = float("-inf")
 
@@ -293,7 +295,13 @@
             born_ms=upstream.born_ms,
             draining=upstream.draining,
         )
-        self._drop_runs("a new life of the upstream", now_ms)
+        if self._upstream is not None and self._upstream.upstream == upstream.upstream:
+            # A start may have reached the new life before this agent knew of it.
+            for run in self._runs.values():
+                run.state = _State.UNCLEAR
+                run.missing = RunEnd.LOST
+        else:
+            self._drop_runs("a new life of the upstream", now_ms)
         self._upstream = upstream
         # Voids orders to an earlier life that may still be carried out in this one.
         self._fence += 1
@@ -334,7 +342,11 @@
         if runs.born_ms is not None and runs.born_ms != self._upstream.born_ms:
             self._on_rebirth(runs.born_ms, now_ms)
             return
+        first = not self._lease.known
         self._lease.observe(runs.clock_ms, now_ms)
+        if first:
+            # What the upstream already runs may hold a lease of full length.
+            self._lease.deadline_ms(self._max_hold_ms, now_ms)
         self._answered_ms = now_ms
         if call.acked >= self._acked:
             self._ack_due = False
@@ -415,7 +427,7 @@
                 run.progress_ms = now_ms
             return
         if run.state is _State.UNCLEAR and call.fence > run.fence:
-            self._finish(key, RunEnd.REJECTED, "the start got no answer", now_ms)
+            self._finish(key, run.missing, "the upstream doesn't list the run", now_ms)
         elif run.state is _State.RUNNING and call.sent_ms > run.progress_ms:
             self._finish(key, RunEnd.LOST, "the upstream doesn't list the run", now_ms)
 
@@ -478,6 +490,10 @@
             # It carries no number: an entry that doesn't know the session has none to continue.
             self._end_session(peer, "the entry doesn't know the session", now_ms)
             return
+        if state.channel.age_ms(frame, now_ms) >= OWNER_SILENCE_MS:
+            # This agent or the link stood still; the entry has given the session up, or soon will.
+            self._end_session(peer, "a frame was held up for too long", now_ms)
+            return
         for body in state.channel.receive(frame, now_ms):
             match body:
                 case StartRun():
