Plan waiting jobs by value, move slow runs, and bound the age of orders

Change: jobqueue.plan orders timely work by latest start and drops the least valuable where not all fits; late work leaves a reserve free; agents report runs with little progress, and entries learn from that and move them; a refused start is retried only while it is fresh, and the first frame of a session bounds the age of the others.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -23,6 +23,7 @@
     Notice,
     Report,
     RunEnded,
+    RunSlow,
     StartRun,
 )
 
@@ -56,7 +57,15 @@
     ended: RunEnded
 
 
-SessionEvent = AgentLost | AgentRunEnded
+@dataclass(frozen=True, slots=True)
+class AgentRunSlow:
+    """A run of the session makes less progress than expected."""
+
+    view: AgentView
+    slow: RunSlow
+
+
+SessionEvent = AgentLost | AgentRunEnded | AgentRunSlow
 
 
 class AgentSessions:
@@ -119,6 +128,8 @@
         self._views[peer] = view
         if self._notice.revision >= 0:
             self.send(view, self._notice, now_ms)
+        else:
+            self._send(SendAgent(peer, channel.send(None, now_ms)))
         return view
 
     def _take(self, view: AgentView, body: object, acked: int, now_ms: float) -> list[SessionEvent]:
@@ -133,6 +144,8 @@
                 if body.free is not None:
                     view.take_free(body.free, acked)
                 return [AgentRunEnded(view, body)]
+            case RunSlow():
+                return [AgentRunSlow(view, body)]
             case Goodbye():
                 return [self._drop(view, "the agent ended the session")]
         return []
--- a/snipewell/channel.py
+++ b/snipewell/channel.py
@@ -57,6 +57,7 @@
         self._received = 0
         self._unacked: deque[tuple[int, Out]] = deque()
         self._resend_at_ms = 0.0
+        self._opened_ms = now_ms
         self._offset_ms: float | None = None
 
     @property
@@ -78,16 +79,26 @@
         self._unacked.append((number, body))
         return Frame(self.session, number, self._received, now_ms, body)
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a frame of the other side has arrived."""
+        return self._offset_ms is not None
+
     def age_ms(self, frame: Frame[In], now_ms: float) -> float:
-        """Return how long ago ``frame`` was sent, beyond the fastest transit seen."""
-        offset_ms = now_ms - frame.sent_ms
-        return 0.0 if self._offset_ms is None else max(0.0, offset_ms - self._offset_ms)
+        """Return how long ago ``frame`` was sent at the most.
+
+        The other side answers the first frame of a session, so nothing that it sends is older than
+        the session.
+        """
+        if self._offset_ms is None:
+            return now_ms - self._opened_ms
+        return max(0.0, now_ms - frame.sent_ms - self._offset_ms)
 
     def receive(self, frame: Frame[In], now_ms: float) -> list[In]:
         """Take in a frame of this session; return its body unless it is a repetition or early."""
-        offset_ms = now_ms - frame.sent_ms
-        if self._offset_ms is None or offset_ms < self._offset_ms:
-            self._offset_ms = offset_ms
+        if self._offset_ms is None:
+            self._offset_ms = self._opened_ms - frame.sent_ms
+        self._offset_ms = min(self._offset_ms, now_ms - frame.sent_ms)
         # A frame held up on its way doesn't count as a sign of life from now.
         self.heard_ms = max(self.heard_ms, frame.sent_ms + self._offset_ms)
         while self._unacked and self._unacked[0][0] <= frame.acked:
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -31,6 +31,7 @@
     Notice,
     Report,
     RunEnded,
+    RunSlow,
     StartRun,
     StopRun,
     UpstreamReport,
@@ -41,6 +42,9 @@
 OWNER_SILENCE_MS = 900.0
 """Silence after which an entry's runs are stopped. A client sends its job again 1,300 ms after a
 lost answer (``resendIntervalMs``); 400 ms are left to stop the runs, one lost stop included."""
+HANDSHAKE_MS = 250.0
+"""Longest wait for the first frame of an entry, which bounds the error in the age of later ones; a
+session that takes longer to open is replaced at once, which costs one round trip."""
 START_TIMEOUT_MS = 250.0
 """Wait for the answer to a start, which the upstream gives within a few milliseconds."""
 STOP_RETRY_MS = 150.0
@@ -57,6 +61,15 @@
 STALL_SHARE = 0.35
 """A run is stopped after no progress for ``STALL_MS`` and this share of its expected duration. On a
 sound upstream, 1% of progress shows within a hundredth of the duration."""
+SLOW_FACTOR = 2.0
+"""A run that will take this many times as long as expected is reported; estimates are rarely off
+by more (clients state durations within about 40%)."""
+SLOW_AFTER_MS = 100.0
+"""Shortest time of a run after which its progress tells its duration."""
+SLOW_SHARE = 0.1
+"""Share of the expected duration after which progress tells the duration: ten percents of it."""
+SLOW_REPORT_MS = 300.0
+"""Pause between two reports on one slow run."""
 UNHEALTHY_MS = 1_000.0
 """How long an upstream that refused or did not answer a start is reported as unhealthy."""
 NO_ROOM = "no room"
@@ -197,6 +210,8 @@
     fence: int
     progress_ms: float
     percent: float = -1.0
+    slow_ms: float = float("-inf")
+    """When the run was last reported as slow."""
     retried: bool = False
     missing: RunEnd = RunEnd.REJECTED
     """How the run has ended if its start was unclear and the upstream doesn't list it."""
@@ -425,12 +440,29 @@
             if row.percent > run.percent:
                 run.percent = row.percent
                 run.progress_ms = now_ms
+            self._judge_speed(key, run, now_ms)
             return
         if run.state is _State.UNCLEAR and call.fence > run.fence:
             self._finish(key, run.missing, "the upstream doesn't list the run", now_ms)
         elif run.state is _State.RUNNING and call.sent_ms > run.progress_ms:
             self._finish(key, RunEnd.LOST, "the upstream doesn't list the run", now_ms)
 
+    def _judge_speed(self, key: tuple[str, int], run: _Run, now_ms: float) -> None:
+        """Report a run that will take far longer than expected."""
+        elapsed_ms = now_ms - run.ordered_ms
+        expected_ms = run.order.expected_ms
+        if elapsed_ms < max(SLOW_AFTER_MS, SLOW_SHARE * expected_ms) or run.stop_reason:
+            return
+        # Progress is told in whole percents; the run may be almost one further.
+        total_ms = 100.0 * elapsed_ms / (run.percent + 1.0)
+        if total_ms < SLOW_FACTOR * expected_ms or now_ms - run.slow_ms < SLOW_REPORT_MS:
+            return
+        run.slow_ms = now_ms
+        state = self._peers.get(run.peer)
+        if state is not None and state.channel is not None and state.channel.session == run.session:
+            slow = RunSlow(key[0], key[1], elapsed_ms, total_ms - elapsed_ms)
+            self._send(run.peer, slow, now_ms)
+
     # Orders.
 
     def drain(self, now_ms: float) -> None:
@@ -490,7 +522,8 @@
             # It carries no number: an entry that doesn't know the session has none to continue.
             self._end_session(peer, "the entry doesn't know the session", now_ms)
             return
-        if state.channel.age_ms(frame, now_ms) >= OWNER_SILENCE_MS:
+        limit_ms = OWNER_SILENCE_MS if state.channel.is_answered else HANDSHAKE_MS
+        if state.channel.age_ms(frame, now_ms) >= limit_ms:
             # This agent or the link stood still; the entry has given the session up, or soon will.
             self._end_session(peer, "a frame was held up for too long", now_ms)
             return
@@ -596,7 +629,7 @@
                     self._call_stop(run, now_ms)
             case StartResult.UNANSWERED:
                 self._on_unclear_start(run, now_ms)
-            case StartResult.FENCED | StartResult.LATE if not run.retried and not run.stop_reason:
+            case StartResult.FENCED | StartResult.LATE if self._may_retry(run, now_ms):
                 if result is StartResult.FENCED and call.fence == self._fence:
                     self._raise_fence()
                 run.retried = True
@@ -608,6 +641,14 @@
             case _:
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
 
+    def _may_retry(self, run: _Run, now_ms: float) -> bool:
+        """Return whether a refused start may be sent again.
+
+        If this process stood still before it sent the start, the entry has given the run up.
+        """
+        fresh = now_ms - run.ordered_ms < START_TIMEOUT_MS
+        return fresh and not run.retried and not run.stop_reason
+
     def _on_unclear_start(self, run: _Run, now_ms: float) -> None:
         self.counters.unclear += 1
         run.state = _State.UNCLEAR
@@ -739,6 +780,7 @@
             list(upstream.labels),
             upstream.draining or self._draining or upstream.zone in self._zones_out,
             now_ms >= self._unhealthy_until_ms,
+            sum(state.channel is not None for state in self._peers.values()),
         )
 
     def _report_all(self, now_ms: float) -> None:
--- a/snipewell/order.py
+++ b/snipewell/order.py
@@ -20,6 +20,8 @@
     labels: list[str]
     draining: bool = False
     healthy: bool = True
+    entries: int = 1
+    """Number of entries that share the upstream."""
     """False while the upstream leaves calls unanswered or refuses them as unhealthy."""
 
 
@@ -47,6 +49,15 @@
     free: Room | None = None
 
 
+class RunSlow(msgspec.Struct, tag="slow", frozen=True):
+    """A run makes less progress than expected; ``left_ms`` is what it will still take."""
+
+    task: str
+    attempt: int
+    elapsed_ms: float
+    left_ms: float
+
+
 class StartRun(msgspec.Struct, tag="start", frozen=True):
     """Start a task if there is room at once; otherwise reject it."""
 
@@ -76,7 +87,7 @@
     """The sender doesn't know this session; it has ended."""
 
 
-AgentBody = Hello | Report | RunEnded | Goodbye
+AgentBody = Hello | Report | RunEnded | RunSlow | Goodbye
 EntryBody = StartRun | StopRun | Notice | Goodbye
 AgentFrame = Frame[AgentBody]
 EntryFrame = Frame[EntryBody]
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -12,7 +12,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .agentsession import AgentLost, AgentRunEnded, AgentSessions, SendAgent, SessionEvent
+from .agentsession import (
+    AgentLost,
+    AgentRunEnded,
+    AgentRunSlow,
+    AgentSessions,
+    SendAgent,
+    SessionEvent,
+)
 from .agentview import AgentView
 from .estimate import EstimateLimits, Estimator
 from .executor import BUSY_TASK, NO_ROOM, StartResult
@@ -33,9 +40,9 @@
     RunEnd,
     StepSpec,
 )
-from .jobqueue import StartRate, Timing, expect_wait_ms, retry_after_ms
+from .jobqueue import Demand, StartRate, Timing, Waiting, plan, retry_after_ms
 from .matching import Candidate, choose, may_run
-from .order import AgentFrame, Notice, RunEnded, StartRun, StopRun
+from .order import AgentFrame, Notice, RunEnded, RunSlow, StartRun, StopRun
 from .outlier import Health, OutlierDetector
 
 REMEMBERED_ANSWERS = 10_000
@@ -50,6 +57,12 @@
 """Pause before new starts after the process stood still, in which closed connections show."""
 STANDSTILL_MS = 700.0
 """A gap between two ticks that counts as a standstill: many times the usual gap."""
+RESERVE_SHARE = 0.15
+"""Share of an upstream's processors that work which is late leaves free, so that it doesn't take
+the room of timely work that other entries have; a little more than a task of ordinary size."""
+MOVE_GAIN = 1.3
+MAX_MOVES = 3
+"""A slow run is moved if it will take this many times as long as elsewhere, at most so often."""
 MAX_LOST_RUNS = 20
 """Runs of one task that may be lost or stopped before the job is given up."""
 LEARNING = EstimateLimits(half_life_ms=8_000, default_ms=100.0)
@@ -87,6 +100,7 @@
     done: bool = False
     failed: int = 0
     lost: int = 0
+    moves: int = 0
     avoid: set[UpstreamId] = field(default_factory=set)
     waiting_since_ms: float = 0.0
     not_before_ms: float = float("-inf")
@@ -102,6 +116,7 @@
     ended: bool = False
     started: bool = False
     work: float = 0.0
+    value: float = 1.0
 
     def step_done(self, step: int) -> bool:
         return all(task.done for task in self.tasks[step])
@@ -146,6 +161,7 @@
         self._estimator = Estimator(LEARNING)
         self._outliers = OutlierDetector(rng)
         self._rate = StartRate()
+        self._demand = Demand()
         self._last_tick_ms: float | None = None
         self._paused_until_ms = float("-inf")
         self._wait_ms = 0.0
@@ -251,6 +267,8 @@
                 task.attempt = self._attempts.get(task.name, 0)
             job.tasks.append(tasks)
             job.work += step.count * step.estimate_ms * step.resources.cpu_milli / 1000
+        self._demand.add(queue.name, job.work, now_ms)
+        job.value = self._demand.value(queue.name, job.work)
         self._jobs[spec.job] = job
         self._by_request[request] = job
         self.counters.accepted += 1
@@ -350,6 +368,44 @@
                 self._on_agent_lost(event, now_ms)
             case AgentRunEnded():
                 self._on_run_ended(event.view, event.ended, now_ms)
+            case AgentRunSlow():
+                self._on_run_slow(event.view, event.slow, now_ms)
+
+    def _on_run_slow(self, view: AgentView, slow: RunSlow, now_ms: float) -> None:
+        """Learn that an upstream is slow before its runs end, and move the run if that pays."""
+        task = self._runs.get((slow.task, slow.attempt))
+        if task is None or task.job.ended:
+            return
+        step = task.job.spec.steps[task.step]
+        total_ms = slow.elapsed_ms + slow.left_ms
+        ratio = 100.0 * total_ms / max(1.0, step.estimate_ms)
+        service = ServiceName(task.job.queue.name)
+        self._estimator.learn_overdue(service, view.upstream, ratio, now_ms)
+        others = [
+            other
+            for other in self._find_usable(task.job.queue.service, now_ms)
+            if other is not view
+            and other.upstream not in task.avoid
+            and self._outliers.health(other.upstream) is Health.ACTIVE
+            and may_run(other, step, other.room())
+        ]
+        elsewhere_ms = min(
+            (self._expect_ms(task, other, now_ms) for other in others), default=float("inf")
+        )
+        if task.moves >= MAX_MOVES or slow.left_ms < MOVE_GAIN * elsewhere_ms:
+            return
+        task.moves += 1
+        task.avoid.add(view.upstream)
+        self._note(
+            "moving a slow run",
+            job=task.job.spec.job,
+            task=task.name,
+            attempt=slow.attempt,
+            upstream=view.upstream,
+            left_ms=round(slow.left_ms),
+            elsewhere_ms=round(elsewhere_ms),
+        )
+        self.sessions.send(view, StopRun(slow.task, slow.attempt), now_ms)
 
     def _on_agent_lost(self, event: AgentLost, now_ms: float) -> None:
         lost = [(key, task) for key, task in self._runs.items() if task.view is event.view]
@@ -410,6 +466,8 @@
                     task.not_before_ms = now_ms + TASK_PAUSE_MS
                 elif ended.reason not in (NO_ROOM, StartResult.OLD.value):
                     view.refused_until_ms = now_ms + REJECT_PAUSE_MS
+            case RunEnd.STOPPED if view.upstream in task.avoid and task.moves:
+                pass
             case _:
                 self.counters.lost_runs += 1
                 task.lost += 1
@@ -439,25 +497,71 @@
     # Placement.
 
     def place(self, now_ms: float) -> None:
-        """Refuse what can no longer be served, and start waiting tasks where there is room."""
+        """Start waiting tasks where there is room, and refuse what can no longer be served."""
         if not self._waiting or now_ms < self._paused_until_ms:
             return
-        self._refuse_hopeless(now_ms)
-        usable: dict[str, list[AgentView]] = {}
-        ranked = sorted(
-            self._waiting.values(),
-            key=lambda task: task.job.timing.rank(task.job.queue.priority, now_ms),
+        by_service: dict[str, dict[str, list[_Task]]] = {}
+        for task in self._waiting.values():
+            if task.name not in self._stopping and now_ms >= task.not_before_ms:
+                jobs = by_service.setdefault(task.job.queue.service, {})
+                jobs.setdefault(task.job.spec.job, []).append(task)
+        for service, jobs in by_service.items():
+            self._place_service(service, jobs, now_ms)
+
+    def _place_service(self, service: str, jobs: dict[str, list[_Task]], now_ms: float) -> None:
+        views = self._find_usable(service, now_ms)
+        rate = max(self._share_of(views), self._rate.rate(now_ms))
+        waiting = [self._describe(tasks) for tasks in jobs.values()]
+        planned = plan(waiting, rate, now_ms)
+        spare = [view for view in views if self._has_reserve(view)]
+        full: set[tuple[Room, str, bool]] = set()
+        for name in planned.timely:
+            self._start_tasks(jobs[name], views, False, full, now_ms)
+        for name in planned.late:
+            started = jobs[name][0].job.started
+            self._start_tasks(jobs[name], views if started else spare, not started, full, now_ms)
+        for name in planned.hopeless:
+            self._start_tasks(jobs[name], spare, True, full, now_ms)
+            job = jobs[name][0].job
+            if not job.started and (views or now_ms >= job.timing.useless_ms):
+                wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
+                retry_ms = retry_after_ms(wait_ms, self._rng.random())
+                self._end_job(job, JobRefused("no room in time", retry_ms, True), now_ms)
+
+    def _share_of(self, views: list[AgentView]) -> float:
+        """Return this entry's share of the processors, in core-milliseconds a millisecond."""
+        return sum(
+            view.report.capacity.cpu_milli / 1000 / max(1, view.report.entries) for view in views
         )
-        full: set[tuple[str, Room, str]] = set()
-        for task in ranked:
-            service = task.job.queue.service
+
+    def _has_reserve(self, view: AgentView) -> bool:
+        return view.room().cpu_milli >= RESERVE_SHARE * view.report.capacity.cpu_milli
+
+    def _describe(self, tasks: list[_Task]) -> Waiting:
+        """Return what the plan needs to know of the waiting ``tasks`` of one job."""
+        job = tasks[0].job
+        steps = [job.spec.steps[task.step] for task in tasks]
+        left_ms = max(step.estimate_ms for step in steps)
+        if len(job.spec.steps) > 1:
+            left_ms = job.timing.chain_ms
+        work = sum(step.estimate_ms * step.resources.cpu_milli / 1000 for step in steps)
+        return Waiting(job.spec.job, job.timing, left_ms, work, job.value, job.started)
+
+    def _start_tasks(
+        self,
+        tasks: list[_Task],
+        views: list[AgentView],
+        spare_only: bool,
+        full: set[tuple[Room, str, bool]],
+        now_ms: float,
+    ) -> None:
+        """Start ``tasks`` of one job on ``views``; ``full`` holds the shapes without room."""
+        for task in tasks:
             step = task.job.spec.steps[task.step]
-            shape = (service, step.resources, step.label)
-            if shape in full or task.name in self._stopping or now_ms < task.not_before_ms:
+            shape = (step.resources, step.label, spare_only)
+            if shape in full:
                 continue
-            if service not in usable:
-                usable[service] = self._find_usable(service, now_ms)
-            if not self._start(task, step, usable[service], now_ms) and not task.avoid:
+            if not self._start(task, step, views, now_ms) and not task.avoid:
                 full.add(shape)
 
     def _find_usable(self, service: str, now_ms: float) -> list[AgentView]:
@@ -536,19 +640,6 @@
             report_age_ms=round(now_ms - view.channel.heard_ms),
         )
 
-    def _refuse_hopeless(self, now_ms: float) -> None:
-        """Refuse jobs that have waited until no start could be of use any more."""
-        jobs = {id(task.job): task.job for task in self._waiting.values()}
-        for job in jobs.values():
-            timing = job.timing
-            if job.started or now_ms + timing.chain_ms <= timing.useless_ms:
-                continue
-            work = sum(other.work for other in self._jobs.values() if not other.started)
-            wait_ms = expect_wait_ms(work, self._rate.rate(now_ms))
-            retry_ms = retry_after_ms(wait_ms, self._rng.random())
-            refusal = JobRefused("no room in time", retry_ms, True)
-            self._end_job(job, refusal, now_ms)
-
     # Time.
 
     def tick(self, now_ms: float) -> None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -35,6 +35,7 @@
     Notice,
     Report,
     RunEnded,
+    RunSlow,
     StartRun,
     StopRun,
 )
@@ -355,6 +356,23 @@
     assert isinstance(bench.calls[-1], CallStop)
 
 
+def test_a_start_that_was_sent_after_a_standstill_is_not_sent_again(bench: Bench) -> None:
+    """The process was frozen with the order in hand; its entry has started the task elsewhere."""
+    call = bench.start()
+    bench.now += 3_000.0
+    bench.answer(call, StartResult.LATE)
+    assert bench.ends()[0][2] == "rejected"
+
+
+def test_a_run_that_makes_little_progress_is_reported(bench: Bench) -> None:
+    """A straggler must be known before it ends, or its upstream goes on getting work."""
+    bench.answer(bench.start())
+    bench.advance(260, running=(RunRow("j/0/0", 1, 5.0),))
+    slow = [body for body in bench.bodies if isinstance(body, RunSlow)]
+    assert len(slow) == 1
+    assert slow[0].left_ms > 800.0
+
+
 def test_a_token_that_the_upstream_refuses_is_raised(bench: Bench) -> None:
     """The time of day of the last life was ahead."""
     call = bench.start()
