--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -36,6 +36,7 @@
     StopRun,
     UpstreamReport,
 )
+from .speed import Speedometer
 
 BEAT_MS = 200.0
 """Longest pause between two frames of a session; a quarter of the silence that ends it."""
@@ -68,6 +69,8 @@
 """Shortest time of a run after which its progress tells its duration."""
 SLOW_SHARE = 0.1
 """Share of the expected duration after which progress tells the duration: ten percents of it."""
+MIN_PERCENT = 10.0
+"""Progress from which the duration of a run is foreseen, within a tenth."""
 SLOW_REPORT_MS = 300.0
 """Pause between two reports on one slow run."""
 UNHEALTHY_MS = 1_000.0
@@ -255,6 +258,7 @@
         self._upstream: Upstream | None = None
         self._confirmed = False
         self._lease = LeaseClock()
+        self._speed = Speedometer()
         self._acked = 0
         self._ack_due = False
         self._runs: dict[tuple[str, int], _Run] = {}
@@ -322,6 +326,7 @@
         self._fence += 1
         self._confirmed = False
         self._lease.reset()
+        self._speed.clear()
         self._acked = 0
         self._ack_due = False
         self._unhealthy_until_ms = float("-inf")
@@ -450,11 +455,10 @@
     def _judge_speed(self, key: tuple[str, int], run: _Run, now_ms: float) -> None:
         """Report a run that will take far longer than expected."""
         elapsed_ms = now_ms - run.ordered_ms
-        expected_ms = run.order.expected_ms
+        expected_ms = run.order.estimate_ms
         if elapsed_ms < max(SLOW_AFTER_MS, SLOW_SHARE * expected_ms) or run.stop_reason:
             return
-        # Progress is told in whole percents; the run may be almost one further.
-        total_ms = 100.0 * elapsed_ms / (run.percent + 1.0)
+        total_ms = _foresee_ms(run, now_ms)
         if total_ms < SLOW_FACTOR * expected_ms or now_ms - run.slow_ms < SLOW_REPORT_MS:
             return
         run.slow_ms = now_ms
@@ -683,6 +687,8 @@
         run = self._runs.pop(key)
         self.counters.ends[how.value] = self.counters.ends.get(how.value, 0) + 1
         elapsed_ms = 0.0 if how is RunEnd.REJECTED else now_ms - run.ordered_ms
+        if how is RunEnd.DONE:
+            self._speed.add_end(elapsed_ms / max(1.0, run.order.estimate_ms), now_ms)
         if how is not RunEnd.DONE:
             self._note(
                 "run ended",
@@ -729,7 +735,7 @@
             if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
                 self._call_stop(run, now_ms)
             return
-        patience_ms = max(STALL_MS, STALL_SHARE * run.order.expected_ms)
+        patience_ms = max(STALL_MS, STALL_SHARE * run.order.estimate_ms)
         if now_ms - run.progress_ms >= patience_ms:
             self.counters.stalled += 1
             self._stop(key, RunEnd.STALLED.value, now_ms)
@@ -781,8 +787,17 @@
             upstream.draining or self._draining or upstream.zone in self._zones_out,
             now_ms >= self._unhealthy_until_ms,
             sum(state.channel is not None for state in self._peers.values()),
+            self._slowness(now_ms),
         )
 
+    def _slowness(self, now_ms: float) -> float:
+        foreseen = [
+            _foresee_ms(run, now_ms) / max(1.0, run.order.estimate_ms)
+            for run in self._runs.values()
+            if run.percent >= MIN_PERCENT
+        ]
+        return self._speed.slowness(foreseen, now_ms)
+
     def _report_all(self, now_ms: float) -> None:
         """Tell each entry of a change, at most every ``REPORT_MS``."""
         report: UpstreamReport | None = None
@@ -808,5 +823,13 @@
         self.effects.append(NoteRun(text, fields))
 
 
+def _foresee_ms(run: _Run, now_ms: float) -> float:
+    """Return the whole duration of a run as its progress tells it.
+
+    Progress is told in whole percents; the run may be almost one further.
+    """
+    return 100.0 * (now_ms - run.ordered_ms) / (run.percent + 1.0)
+
+
 def _same_life(call: CallHold, upstream: Upstream) -> bool:
     return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
@@ -70,7 +71,6 @@
 
     name: str
     zone: str
-    registration_address: str
     metrics_port: int
     max_hold_ms: float
     grace_ms: float
@@ -215,17 +215,24 @@
                 await self._dealers.replace(name)
             await curio.sleep(CONNECT_MS / 1000)
 
-    async def run(self, handle_registration: Callable[[Request], Awaitable[Response]]) -> None:
-        """Run until SIGTERM, then let the runs end that can end in time."""
+    async def run(
+        self,
+        handle_registration: Callable[[Request], Awaitable[Response]],
+        listener: socket.socket,
+    ) -> None:
+        """Run until SIGTERM, then let the runs end that can end in time.
+
+        The upstream registers at ``listener``.
+        """
         settings = self._settings
         context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         identity = agent_identity(AgentId(settings.name), self._incarnation)
         self._dealers = Dealers(
             context, identity, self._on_frame, limits=JOB_TRANSPORT, codec=AGENT_CODEC
         )
-        host, _, port = settings.registration_address.rpartition(":")
+        host = listener.getsockname()[0]
         registration = HttpServer(handle_registration, ServerLimits(connections=64))
-        await registration.start(host, int(port))
+        await registration.serve(listener)
         tasks = [
             await curio.spawn(self._task.run, daemon=True),
             await curio.spawn(self._task.run_ticks, self._core.tick, daemon=True),
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
@@ -35,6 +36,10 @@
 DRAIN_NOTICE_MS = 2_500.0
 """How long a stopping entry still takes requests: the balancer looks once a second and takes an
 entry out after two misses."""
+CATALOG_WAIT_MS = 400.0
+CATALOG_POLL_MS = 10.0
+"""How long a starting entry waits for the catalog before it answers that it has none. A store that
+works answers within a few milliseconds."""
 STOP_RESERVE_MS = 400.0
 """Part of the grace period kept to answer and exit."""
 
@@ -48,7 +53,6 @@
 
     name: str
     zone: str
-    client_address: str
     readiness_address: str
     agent_address: str
     metrics_port: int
@@ -183,8 +187,12 @@
         handle: Callable[[Request], Awaitable[Response]],
         handle_readiness: Callable[[Request], Awaitable[Response]],
         client_limits: ServerLimits,
+        listener: socket.socket,
     ) -> None:
-        """Serve until SIGTERM, then finish the requests in flight."""
+        """Serve until SIGTERM, then finish the requests in flight.
+
+        Clients connect to ``listener``.
+        """
         settings = self._settings
         context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         incarnation = new_incarnation()
@@ -225,9 +233,10 @@
             ),
         ]
         await self._router.start()
-        await clients.start(*_split(settings.client_address))
+        await self._await_catalog()
+        await clients.serve(listener)
         await readiness.start(*_split(settings.readiness_address))
-        host = _split(settings.client_address)[0]
+        host = listener.getsockname()[0]
         await serve_metrics(self.metrics, host, settings.metrics_port, self._log)
         self._log.info("entry", "start", zone=settings.zone, incarnation=incarnation)
         freeze_memory()
@@ -238,6 +247,12 @@
         await self._router.close()
         self._buffer.flush()
 
+    async def _await_catalog(self) -> None:
+        """Let clients wait in the kernel's queue for a moment instead of refusing them."""
+        until_ms = self._clock.now_ms() + CATALOG_WAIT_MS
+        while self._core.catalog is None and self._clock.now_ms() < until_ms:
+            await curio.sleep(CATALOG_POLL_MS / 1000)
+
     async def _stop(self, clients: HttpServer, registration: Registration) -> None:
         """Leave the balancer's rotation, answer what is in flight, and end."""
         began_ms = self._clock.now_ms()
--- a/snipewell/order.py
+++ b/snipewell/order.py
@@ -22,6 +22,8 @@
     healthy: bool = True
     entries: int = 1
     """Number of entries that share the upstream."""
+    slowness: float = 1.0
+    """How long runs take lately, relative to their clients' estimates."""
     """False while the upstream leaves calls unanswered or refuses them as unhealthy."""
 
 
@@ -65,8 +67,8 @@
     attempt: int
     specification: str
     resources: Room
-    expected_ms: float
-    """Expected duration, from which the agent tells a run that makes no progress."""
+    estimate_ms: float
+    """The client's estimate of the duration."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -1,18 +1,16 @@
-"""The daemons on the platform: ``python -m snipewell.platform entry`` or ``agent``."""
+"""The daemons on the platform: ``python -m snipewell.platform entry`` or ``agent``.
+
+The listening socket is opened first; the modules of the daemon are loaded after that.
+"""
 
 from __future__ import annotations
 
+import socket
 import sys
-from random import SystemRandom
-
-import curio
 
-from ..clock import SystemClock
-from ..log import Log
-from ..logbuffer import LogBuffer
-from ..settings import SettingsError
+from ..errors import SettingsError
+from ..listener import open_listener
 from .boot import Boot, read_boot
-from .store import PlatformStore
 
 METRICS_PORT = 9464
 """Port of the metrics, the same as in ``deploy/system.toml``."""
@@ -21,64 +19,82 @@
 SETTINGS_ERROR_STATUS = 2
 
 
-def _run_entry(boot: Boot, log: Log, buffer: LogBuffer) -> None:
+def _run_entry(boot: Boot, listener: socket.socket) -> None:
+    from random import SystemRandom
+
+    import curio
+
+    from ..clock import SystemClock
     from ..jobentryd import JobEntry, JobEntrySettings
-    from ..server import ServerLimits
+    from ..log import Log
+    from ..logbuffer import LogBuffer
     from .configuration import OPERATOR_KEYS
     from .front import CLIENT_LIMITS, Front
+    from .store import PlatformStore
 
     settings = JobEntrySettings(
         boot.name,
         boot.zone,
-        boot.client_address,
         boot.readiness_address,
         f"{boot.ip}:{boot.first_port}",
         METRICS_PORT,
         boot.grace_ms,
     )
     clock = SystemClock()
+    buffer = LogBuffer(sys.stdout.fileno())
+    log = Log("info", buffer.add, node=boot.name)
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
     entry = JobEntry(settings, store, OPERATOR_KEYS, clock, SystemRandom(), log, buffer)
     front = Front(entry)
-    limits: ServerLimits = CLIENT_LIMITS
-    curio.run(entry.run, front.handle, front.handle_readiness, limits)
+    curio.run(entry.run, front.handle, front.handle_readiness, CLIENT_LIMITS, listener)
 
 
-def _run_agent(boot: Boot, log: Log, buffer: LogBuffer) -> None:
+def _run_agent(boot: Boot, listener: socket.socket) -> None:
+    from random import SystemRandom
+
+    import curio
+
+    from ..clock import SystemClock
     from ..jobagentd import JobAgent, JobAgentSettings
+    from ..log import Log
+    from ..logbuffer import LogBuffer
     from .configuration import EVACUATION_KEYS
     from .registration import Registrar
+    from .store import PlatformStore
     from .upstream import UpstreamClient
 
-    settings = JobAgentSettings(
-        boot.name,
-        boot.zone,
-        boot.registration_address,
-        METRICS_PORT,
-        boot.max_hold_ms,
-        boot.grace_ms,
-    )
+    settings = JobAgentSettings(boot.name, boot.zone, METRICS_PORT, boot.max_hold_ms, boot.grace_ms)
     clock = SystemClock()
+    buffer = LogBuffer(sys.stdout.fileno())
+    log = Log("info", buffer.add, node=boot.name)
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
-    agent = JobAgent(
-        settings, store, EVACUATION_KEYS, UpstreamClient(), clock, SystemRandom(), log, buffer
-    )
-    curio.run(agent.run, Registrar(agent, log).handle)
+    orders = UpstreamClient()
+    agent = JobAgent(settings, store, EVACUATION_KEYS, orders, clock, SystemRandom(), log, buffer)
+    curio.run(agent.run, Registrar(agent, log).handle, listener)
 
 
 def main() -> None:
     """Run the role named by the first argument; exit with status 2 if the settings are unusable."""
-    roles = {"entry": _run_entry, "agent": _run_agent}
     role = sys.argv[1] if len(sys.argv) == 2 else ""
-    if role not in roles:
-        sys.exit("usage: python -m snipewell.platform entry|agent")
-    buffer = LogBuffer(sys.stdout.fileno())
     try:
         boot = read_boot()
+        match role:
+            case "entry":
+                _run_entry(boot, _listen(boot.client_address))
+            case "agent":
+                _run_agent(boot, _listen(boot.registration_address))
+            case _:
+                sys.exit("usage: python -m snipewell.platform entry|agent")
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(SETTINGS_ERROR_STATUS)
-    roles[role](boot, Log("info", buffer.add, node=boot.name), buffer)
+
+
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError("settings", None, "listenAddresses", "expected an address to serve")
+    return open_listener(host, int(port))
 
 
 main()
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..settings import SettingsError
+from ..errors import SettingsError
 
 FILE_VARIABLE = "SNIPEWELL_BOOT"
 
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median_low
 
 from .agentsession import (
     AgentLost,
@@ -21,7 +22,6 @@
     SessionEvent,
 )
 from .agentview import AgentView
-from .estimate import EstimateLimits, Estimator
 from .executor import BUSY_TASK, NO_ROOM, StartResult
 from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import (
@@ -40,7 +40,7 @@
     RunEnd,
     StepSpec,
 )
-from .jobqueue import Demand, StartRate, Timing, Waiting, plan, retry_after_ms
+from .jobqueue import RATE_WINDOW_MS, Demand, StartRate, Timing, Waiting, plan, retry_after_ms
 from .matching import Candidate, choose, may_run
 from .order import AgentFrame, Notice, RunEnded, RunSlow, StartRun, StopRun
 from .outlier import Health, OutlierDetector
@@ -57,16 +57,18 @@
 """Pause before new starts after the process stood still, in which closed connections show."""
 STANDSTILL_MS = 700.0
 """A gap between two ticks that counts as a standstill: many times the usual gap."""
-RESERVE_SHARE = 0.15
+RESERVE_SHARE = 0.3
 """Share of an upstream's processors that work which is late leaves free, so that it doesn't take
-the room of timely work that other entries have; a little more than a task of ordinary size."""
+the room of timely work that other entries have: as much as three tasks of ordinary size."""
+GROWTH = 1.05
+SETTLE_MS = 800.0
+"""Nothing is refused for want of room while the known capacity grew by this factor so lately: the
+upstreams of a fleet that starts register over one heartbeat interval of 1,500 ms."""
 MOVE_GAIN = 1.3
 MAX_MOVES = 3
 """A slow run is moved if it will take this many times as long as elsewhere, at most so often."""
 MAX_LOST_RUNS = 20
 """Runs of one task that may be lost or stopped before the job is given up."""
-LEARNING = EstimateLimits(half_life_ms=8_000, default_ms=100.0)
-"""Durations are learned relative to the client's estimate, so 100 stands for a true estimate."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,10 +160,12 @@
         """Attempts of ended jobs that still run, by task."""
         self._attempts: OrderedDict[str, int] = OrderedDict()
         self._answers: OrderedDict[JobId, tuple[float, JobEnded]] = OrderedDict()
-        self._estimator = Estimator(LEARNING)
         self._outliers = OutlierDetector(rng)
         self._rate = StartRate()
         self._demand = Demand()
+        self._capacity = 0
+        self._saturated_since_ms = float("inf")
+        self._refuse_after_ms = float("-inf")
         self._last_tick_ms: float | None = None
         self._paused_until_ms = float("-inf")
         self._wait_ms = 0.0
@@ -372,27 +376,27 @@
                 self._on_run_slow(event.view, event.slow, now_ms)
 
     def _on_run_slow(self, view: AgentView, slow: RunSlow, now_ms: float) -> None:
-        """Learn that an upstream is slow before its runs end, and move the run if that pays."""
+        """Move a slow run if it would end earlier elsewhere.
+
+        The run's own progress tells its size; the slowness of the two upstreams tells the rest.
+        """
         task = self._runs.get((slow.task, slow.attempt))
-        if task is None or task.job.ended:
+        if task is None or task.job.ended or task.moves >= MAX_MOVES:
             return
         step = task.job.spec.steps[task.step]
-        total_ms = slow.elapsed_ms + slow.left_ms
-        ratio = 100.0 * total_ms / max(1.0, step.estimate_ms)
-        service = ServiceName(task.job.queue.name)
-        self._estimator.learn_overdue(service, view.upstream, ratio, now_ms)
-        others = [
-            other
-            for other in self._find_usable(task.job.queue.service, now_ms)
-            if other is not view
-            and other.upstream not in task.avoid
-            and self._outliers.health(other.upstream) is Health.ACTIVE
-            and may_run(other, step, other.room())
-        ]
+        size_ms = (slow.elapsed_ms + slow.left_ms) / view.report.slowness
         elsewhere_ms = min(
-            (self._expect_ms(task, other, now_ms) for other in others), default=float("inf")
+            (
+                size_ms * other.report.slowness
+                for other in self._find_usable(task.job.queue.service, now_ms)
+                if other is not view
+                and other.upstream not in task.avoid
+                and self._outliers.health(other.upstream) is Health.ACTIVE
+                and may_run(other, step, other.room())
+            ),
+            default=float("inf"),
         )
-        if task.moves >= MAX_MOVES or slow.left_ms < MOVE_GAIN * elsewhere_ms:
+        if slow.left_ms < MOVE_GAIN * elsewhere_ms:
             return
         task.moves += 1
         task.avoid.add(view.upstream)
@@ -484,22 +488,25 @@
         upstream = view.upstream
         if not upstream or how not in (RunEnd.DONE, RunEnd.FAILED, RunEnd.STALLED):
             return
-        service = ServiceName(task.job.queue.name)
-        estimate_ms = max(1.0, task.job.spec.steps[task.step].estimate_ms)
-        ratio = 100.0 * ended.elapsed_ms / estimate_ms
-        if how is RunEnd.DONE:
-            self._estimator.learn(service, upstream, ratio, now_ms)
         self._outliers.add(upstream)
         self._outliers.on_end(
-            upstream, service, ScopedKey(task.job.spec.job), how is RunEnd.DONE, now_ms
+            upstream,
+            ServiceName(task.job.queue.name),
+            ScopedKey(task.job.spec.job),
+            how is RunEnd.DONE,
+            now_ms,
         )
 
     # Placement.
 
     def place(self, now_ms: float) -> None:
         """Start waiting tasks where there is room, and refuse what can no longer be served."""
-        if not self._waiting or now_ms < self._paused_until_ms:
+        if not self._waiting:
+            self._saturated_since_ms = float("inf")
             return
+        if now_ms < self._paused_until_ms:
+            return
+        self._saturated_since_ms = min(self._saturated_since_ms, now_ms)
         by_service: dict[str, dict[str, list[_Task]]] = {}
         for task in self._waiting.values():
             if task.name not in self._stopping and now_ms >= task.not_before_ms:
@@ -507,41 +514,66 @@
                 jobs.setdefault(task.job.spec.job, []).append(task)
         for service, jobs in by_service.items():
             self._place_service(service, jobs, now_ms)
+        if not self._waiting:
+            self._saturated_since_ms = float("inf")
 
     def _place_service(self, service: str, jobs: dict[str, list[_Task]], now_ms: float) -> None:
         views = self._find_usable(service, now_ms)
-        rate = max(self._share_of(views), self._rate.rate(now_ms))
-        waiting = [self._describe(tasks) for tasks in jobs.values()]
+        rate = self._expect_rate(views, now_ms)
+        slowness = _median([view.report.slowness for view in views])
+        waiting = [self._describe(tasks, slowness) for tasks in jobs.values()]
         planned = plan(waiting, rate, now_ms)
-        spare = [view for view in views if self._has_reserve(view)]
-        full: set[tuple[Room, str, bool]] = set()
+        self._watch_growth(views, now_ms)
+        full: set[tuple[Room, str]] = set()
+        started = [name for name in planned.late if jobs[name][0].job.started]
+        # What is left of a job that has started is small, and what was done for it would be lost.
+        for name in started:
+            self._start_tasks(jobs[name], views, full, now_ms)
         for name in planned.timely:
-            self._start_tasks(jobs[name], views, False, full, now_ms)
-        for name in planned.late:
-            started = jobs[name][0].job.started
-            self._start_tasks(jobs[name], views if started else spare, not started, full, now_ms)
+            due_ms = jobs[name][0].job.timing.due_ms
+            self._start_tasks(jobs[name], views, full, now_ms, due_ms)
+        spare = [view for view in views if self._has_reserve(view)]
+        full.clear()
+        for name in [*planned.late, *planned.hopeless]:
+            self._start_tasks([t for t in jobs[name] if t.view is None], spare, full, now_ms)
+        if now_ms < self._refuse_after_ms:
+            return
         for name in planned.hopeless:
-            self._start_tasks(jobs[name], spare, True, full, now_ms)
             job = jobs[name][0].job
             if not job.started and (views or now_ms >= job.timing.useless_ms):
                 wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
                 retry_ms = retry_after_ms(wait_ms, self._rng.random())
                 self._end_job(job, JobRefused("no room in time", retry_ms, True), now_ms)
 
-    def _share_of(self, views: list[AgentView]) -> float:
-        """Return this entry's share of the processors, in core-milliseconds a millisecond."""
-        return sum(
-            view.report.capacity.cpu_milli / 1000 / max(1, view.report.entries) for view in views
+    def _expect_rate(self, views: list[AgentView], now_ms: float) -> float:
+        """Return the work that this entry can start, in core-milliseconds a millisecond.
+
+        While tasks have waited for a whole window, it is what was started in that window. Before,
+        it is an equal share of what the upstreams can do, or more if more was started.
+        """
+        measured = self._rate.rate(now_ms)
+        if now_ms - self._saturated_since_ms >= RATE_WINDOW_MS:
+            return measured
+        share = sum(
+            view.report.capacity.cpu_milli
+            / 1000
+            / view.report.slowness
+            / max(1, view.report.entries)
+            for view in views
         )
+        return max(share, measured)
 
     def _has_reserve(self, view: AgentView) -> bool:
         return view.room().cpu_milli >= RESERVE_SHARE * view.report.capacity.cpu_milli
 
-    def _describe(self, tasks: list[_Task]) -> Waiting:
-        """Return what the plan needs to know of the waiting ``tasks`` of one job."""
+    def _describe(self, tasks: list[_Task], slowness: float) -> Waiting:
+        """Return what the plan needs to know of the waiting ``tasks`` of one job.
+
+        ``slowness`` is that of an upstream that the job may expect.
+        """
         job = tasks[0].job
         steps = [job.spec.steps[task.step] for task in tasks]
-        left_ms = max(step.estimate_ms for step in steps)
+        left_ms = max(step.estimate_ms for step in steps) * slowness
         if len(job.spec.steps) > 1:
             left_ms = job.timing.chain_ms
         work = sum(step.estimate_ms * step.resources.cpu_milli / 1000 for step in steps)
@@ -551,19 +583,32 @@
         self,
         tasks: list[_Task],
         views: list[AgentView],
-        spare_only: bool,
-        full: set[tuple[Room, str, bool]],
+        full: set[tuple[Room, str]],
         now_ms: float,
+        end_by_ms: float = float("inf"),
     ) -> None:
-        """Start ``tasks`` of one job on ``views``; ``full`` holds the shapes without room."""
+        """Start ``tasks`` of one job on ``views``; ``full`` holds the shapes without room.
+
+        Upstreams where a task would end after ``end_by_ms`` are left to others.
+        """
         for task in tasks:
             step = task.job.spec.steps[task.step]
-            shape = (step.resources, step.label, spare_only)
+            shape = (step.resources, step.label)
             if shape in full:
                 continue
-            if not self._start(task, step, views, now_ms) and not task.avoid:
+            able = views
+            if end_by_ms < float("inf"):
+                able = [view for view in views if now_ms + self._expect_ms(task, view) <= end_by_ms]
+            if not self._start(task, step, able, now_ms) and not task.avoid and able is views:
                 full.add(shape)
 
+    def _watch_growth(self, views: list[AgentView], now_ms: float) -> None:
+        """Put refusals off while upstreams are still being found, as after a start."""
+        capacity = sum(view.report.capacity.cpu_milli for view in views)
+        if capacity > GROWTH * self._capacity:
+            self._refuse_after_ms = now_ms + SETTLE_MS
+        self._capacity = capacity
+
     def _find_usable(self, service: str, now_ms: float) -> list[AgentView]:
         return [
             view
@@ -589,7 +634,7 @@
             # Every upstream has failed this task; the least bad is any.
             candidates = fitting
         choice = choose(
-            [Candidate(view, self._expect_ms(task, view, now_ms)) for view in candidates],
+            [Candidate(view, self._expect_ms(task, view)) for view in candidates],
             self._rng,
         )
         if choice is None:
@@ -605,10 +650,8 @@
         running = sum(1 for task in self._runs.values() if task.view is view)
         return self._outliers.may_probe(view.upstream, running, now_ms)
 
-    def _expect_ms(self, task: _Task, view: AgentView, now_ms: float) -> float:
-        estimate_ms = task.job.spec.steps[task.step].estimate_ms
-        service = ServiceName(task.job.queue.name)
-        return estimate_ms * self._estimator.expect_ms(service, view.upstream, now_ms) / 100.0
+    def _expect_ms(self, task: _Task, view: AgentView) -> float:
+        return task.job.spec.steps[task.step].estimate_ms * view.report.slowness
 
     def _order_start(self, task: _Task, step: StepSpec, choice: Candidate, now_ms: float) -> None:
         del self._waiting[task.name]
@@ -626,7 +669,7 @@
             task.attempt,
             task.job.spec.specification,
             step.resources,
-            choice.expected_ms,
+            step.estimate_ms,
         )
         self.sessions.send(view, order, now_ms)
         self._note(
@@ -653,12 +696,7 @@
         for job in [j for j in self._jobs.values() if now_ms >= j.timing.client_until_ms]:
             if job.started:
                 self._end_job(job, JobUnknown("the client's time is over"), now_ms)
-        factors = {
-            view.upstream: self._estimator.factor(view.upstream, now_ms)
-            for view in self.sessions.views()
-            if view.upstream
-        }
-        self._outliers.tick(factors, now_ms)
+        self._outliers.tick({}, now_ms)
 
     def pause_starts(self, gap_ms: float, now_ms: float) -> None:
         """Start nothing for a moment, because the process stood still for ``gap_ms``.
@@ -670,3 +708,8 @@
 
     def _note(self, text: str, **fields: object) -> None:
         self.effects.append(Note(text, fields))
+
+
+def _median(values: list[float]) -> float:
+    """Return the lower median of ``values``, 1.0 without any."""
+    return median_low(values) if values else 1.0
--- a/snipewell/server.py
+++ b/snipewell/server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket as stdlib_socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http.client import responses
@@ -17,6 +18,7 @@
 from curio import socket
 
 from .keepalive import probe_silence
+from .listener import open_listener
 from .outcome import Invalid, Step, Unknown
 from .web import Request, Response
 
@@ -104,15 +106,11 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host:port``; port 0 takes a free one, see ``address``. Raises OSError."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((host, port))
-            listener.listen(1024)
-        except OSError:
-            await listener.close()
-            raise
-        self._listener = listener
+        await self.serve(open_listener(host, port))
+
+    async def serve(self, listener: stdlib_socket.socket) -> None:
+        """Accept connections from ``listener``, which the server closes when it stops."""
+        self._listener = curio.io.Socket(listener)
         self.address = listener.getsockname()[:2]
         self._accepting = await curio.spawn(self._accept, daemon=True)
 
--- a/snipewell/settings.py
+++ b/snipewell/settings.py
@@ -16,6 +16,7 @@
 import msgspec
 import pyjson5
 
+from .errors import SettingsError
 from .message import Resources
 from .resource import Name
 
@@ -29,18 +30,6 @@
 S = TypeVar("S", bound="Settings")
 
 
-class SettingsError(Exception):
-    """Settings that cannot be used; the text names file, line, field and what was expected."""
-
-    def __init__(self, file: str, line: int | None, field: str, reason: str) -> None:
-        place = f"{file}:{line}" if line is not None else file
-        super().__init__(f"{place}: {field}: {reason}" if field else f"{place}: {reason}")
-        self.file = file
-        self.line = line
-        self.field = field
-        self.reason = reason
-
-
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Base of all settings."""
 
