--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -60,6 +60,9 @@
 RESERVE_SHARE = 0.3
 """Share of an upstream's processors that work which is late leaves free, so that it doesn't take
 the room of timely work that other entries have: as much as three tasks of ordinary size."""
+SATURATED_MS = 300.0
+"""Time for which tasks must have waited before the plan refuses jobs: a shorter wait is a chance
+meeting of jobs, and the rate of starts isn't known yet."""
 GROWTH = 1.05
 SETTLE_MS = 800.0
 """Nothing is refused for want of room while the known capacity grew by this factor so lately: the
@@ -536,11 +539,14 @@
         full.clear()
         for name in [*planned.late, *planned.hopeless]:
             self._start_tasks([t for t in jobs[name] if t.view is None], spare, full, now_ms)
+        lasting = views and now_ms - self._saturated_since_ms >= SATURATED_MS
         if now_ms < self._refuse_after_ms:
             return
         for name in planned.hopeless:
             job = jobs[name][0].job
-            if not job.started and (views or now_ms >= job.timing.useless_ms):
+            if not job.started and (
+                lasting or now_ms + job.timing.chain_ms > job.timing.useless_ms
+            ):
                 wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
                 retry_ms = retry_after_ms(wait_ms, self._rng.random())
                 self._end_job(job, JobRefused("no room in time", retry_ms, True), now_ms)
