--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -63,7 +63,7 @@
 SATURATED_MS = 300.0
 """Time for which tasks must have waited before the plan refuses jobs: a shorter wait is a chance
 meeting of jobs, and the rate of starts isn't known yet."""
-GROWTH = 1.05
+GROWTH = 1.25
 SETTLE_MS = 800.0
 """Nothing is refused for want of room while the known capacity grew by this factor so lately: the
 upstreams of a fleet that starts register over one heartbeat interval of 1,500 ms."""
@@ -526,7 +526,6 @@
         slowness = _median([view.report.slowness for view in views])
         waiting = [self._describe(tasks, slowness) for tasks in jobs.values()]
         planned = plan(waiting, rate, now_ms)
-        self._watch_growth(views, now_ms)
         full: set[tuple[Room, str]] = set()
         started = [name for name in planned.late if jobs[name][0].job.started]
         # What is left of a job that has started is small, and what was done for it would be lost.
@@ -608,9 +607,10 @@
             if not self._start(task, step, able, now_ms) and not task.avoid and able is views:
                 full.add(shape)
 
-    def _watch_growth(self, views: list[AgentView], now_ms: float) -> None:
+    def _watch_growth(self, now_ms: float) -> None:
         """Put refusals off while upstreams are still being found, as after a start."""
-        capacity = sum(view.report.capacity.cpu_milli for view in views)
+        views = self.sessions.views()
+        capacity = sum(view.report.capacity.cpu_milli for view in views if view.upstream)
         if capacity > GROWTH * self._capacity:
             self._refuse_after_ms = now_ms + SETTLE_MS
         self._capacity = capacity
@@ -703,6 +703,7 @@
             if job.started:
                 self._end_job(job, JobUnknown("the client's time is over"), now_ms)
         self._outliers.tick({}, now_ms)
+        self._watch_growth(now_ms)
 
     def pause_starts(self, gap_ms: float, now_ms: float) -> None:
         """Start nothing for a moment, because the process stood still for ``gap_ms``.
