--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -67,6 +67,9 @@
 SETTLE_MS = 800.0
 """Nothing is refused for want of room while the known capacity grew by this factor so lately: the
 upstreams of a fleet that starts register over one heartbeat interval of 1,500 ms."""
+MOVE_SLOWNESS = 2.0
+"""Runs are moved only from an upstream that is this many times as slow as the median one: upstreams
+differ by up to that factor by their kind."""
 MOVE_GAIN = 1.3
 MAX_MOVES = 3
 """A slow run is moved if it will take this many times as long as elsewhere, at most so often."""
@@ -386,12 +389,16 @@
         task = self._runs.get((slow.task, slow.attempt))
         if task is None or task.job.ended or task.moves >= MAX_MOVES:
             return
+        usable = self._find_usable(task.job.queue.service, now_ms)
+        ordinary = _median([other.report.slowness for other in usable])
+        if view.report.slowness < MOVE_SLOWNESS * ordinary:
+            return
         step = task.job.spec.steps[task.step]
         size_ms = (slow.elapsed_ms + slow.left_ms) / view.report.slowness
         elsewhere_ms = min(
             (
                 size_ms * other.report.slowness
-                for other in self._find_usable(task.job.queue.service, now_ms)
+                for other in usable
                 if other is not view
                 and other.upstream not in task.avoid
                 and self._outliers.health(other.upstream) is Health.ACTIVE
