--- a/snipewell/jobqueue.py
+++ b/snipewell/jobqueue.py
@@ -17,9 +17,6 @@
 
 LATE_FACTOR = 3.0
 """Multiple of its objective after which a job is of no more use to its client, as users state."""
-SLACK_MARGIN = 0.5
-"""Share of the slack that is kept for durations beyond their estimates. While more arrives than can
-be served, every job starts as late as it may, so without a margin most would be late."""
 RATE_WINDOW_MS = 1_000.0
 """Span over which the rate of starts is measured: long enough for several tasks of each kind."""
 DEMAND_HALF_LIFE_MS = 5_000.0
@@ -69,9 +66,8 @@
     started: bool = False
 
     def latest_start_ms(self) -> float:
-        """Return when the waiting tasks must start to meet the objective, with a margin."""
-        slack_ms = self.timing.due_ms - self.timing.arrived_ms - self.left_ms
-        return self.timing.arrived_ms + (1 - SLACK_MARGIN) * slack_ms
+        """Return when the waiting tasks must start to meet the objective."""
+        return self.timing.due_ms - self.left_ms
 
     def last_start_ms(self) -> float:
         """Return when the waiting tasks must start to be of use at all."""
