--- a/tests/test_jobqueue.py
+++ b/tests/test_jobqueue.py
@@ -47,7 +47,7 @@
 
 def test_what_gives_least_for_its_work_is_put_behind_when_not_all_fit() -> None:
     jobs = [waiting("dear", work=1_300.0, value=1.0), waiting("cheap", work=1_300.0, value=5.0)]
-    planned = plan([*jobs, waiting("small", work=10.0)], RATE, 0.0)
+    planned = plan([*jobs, waiting("small", chain=50.0, work=10.0)], RATE, 0.0)
     assert planned.late == ["dear"]
     assert set(planned.timely) == {"cheap", "small"}
 
