Test the platform adapter against stand-ins of its store and messages

Change: stand-ins of the metadata store and of an upstream that takes orders; tests of each decoded message with missing, foreign and overtaken input.

--- /dev/null
+++ b/snipewell/standins/orders.py
@@ -0,0 +1,240 @@
+"""Stand-in for an upstream that takes orders to run tasks, under the platform's contract.
+
+It registers by heartbeats with the agent beside it, grants leases, checks fencing tokens, numbers
+ends, and can carry orders out late. Every run is recorded as the truth for a test. A specification
+of the form ``{"ms": 120, "fail": false}`` tells how a task runs.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import msgspec
+
+from ..client import ExchangeError, NotSentError, fetch
+from ..clock import SystemClock
+from ..server import CallerGoneError, HttpServer
+from ..web import Request, Response
+
+MAX_HOLD_MS = 1_000.0
+STOP_MS = 40.0
+_STEP_S = 0.005
+_LATE_MS = (2_000.0, 5_000.0)
+
+
+class OrderFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults in force. ``late``: share of orders carried out late, without an answer.
+
+    ``hang``: tasks make no progress. ``fail``: tasks fail when they end. ``slow``: factor on their
+    durations.
+    """
+
+    late: float = 0.0
+    hang: bool = False
+    fail: bool = False
+    slow: float = 1.0
+
+
+class RunSpec(msgspec.Struct):
+    """What a task does."""
+
+    ms: float = 100.0
+    fail: bool = False
+
+
+@dataclass
+class Run:
+    """One run; times are of the machine's monotonic clock. ``end_ms`` is None while it goes on."""
+
+    upstream: str
+    task: str
+    attempt: int
+    start_ms: float
+    spec: RunSpec
+    done_ms: float = 0.0
+    stop_at_ms: float | None = None
+    end_ms: float | None = None
+    how: str = ""
+
+
+class OrderedUpstream:
+    """One upstream with ``cpu`` thousandths of a core."""
+
+    def __init__(self, name: str, zone: str, service: str, cpu: int, rng: random.Random) -> None:
+        self.name = name
+        self.zone = zone
+        self.service = service
+        self.cpu = cpu
+        self.faults = OrderFaults()
+        self.draining = False
+        self.history: list[Run] = []
+        self._rng = rng
+        self._clock = SystemClock()
+        self._sequence = 0
+        self._server: HttpServer | None = None
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        self._born_wall_ms = self._clock.wall_ms()
+        self._born_ms = self._clock.now_ms()
+        self._fence = 0
+        self._deadline_ms = 0.0
+        self._running: dict[tuple[str, int], Run] = {}
+        self._ended: list[list[object]] = []
+        self._count = 0
+        self._highest: dict[str, int] = {}
+
+    def crash(self) -> None:
+        """Lose everything that runs and begin a new life under the same id."""
+        for run in self._running.values():
+            run.end_ms, run.how = self._clock.now_ms(), "crashed"
+        self._begin_life()
+
+    def _clock_ms(self) -> float:
+        return self._clock.now_ms() - self._born_ms
+
+    async def run(self, agent_address: str, beat_ms: float = 500.0, port: int = 0) -> None:
+        """Serve orders and register with the agent at ``agent_address`` until cancelled."""
+        self._server = HttpServer(self._handle)
+        await self._server.start("127.0.0.1", port)
+        beats = await curio.spawn(self._beat, agent_address, beat_ms, daemon=True)
+        last_ms = self._clock.now_ms()
+        try:
+            while True:
+                await curio.sleep(_STEP_S)
+                now_ms = self._clock.now_ms()
+                self._step(now_ms - last_ms)
+                last_ms = now_ms
+        finally:
+            await beats.cancel()
+            await self._server.stop(0)
+
+    async def _beat(self, agent_address: str, beat_ms: float) -> None:
+        assert self._server is not None
+        while True:
+            self._sequence += 1
+            body = {
+                "service": self.service,
+                "address": f"127.0.0.1:{self._server.address[1]}",
+                "zone": self.zone,
+                "state": "draining" if self.draining else "ready",
+                "sequence": self._sequence,
+                "capacity": {"cpu": self.cpu, "memMb": 1_000_000},
+                "born": self._born_wall_ms,
+                "labels": ["a"],
+            }
+            path = f"/snipewell/instances/{self.name}/heartbeat"
+            request = Request("POST", path, {}, {}, msgspec.json.encode(body))
+            try:
+                await fetch(agent_address, request, 1_000)
+            except (NotSentError, ExchangeError):
+                # The agent is away; the next heartbeat finds it.
+                await curio.sleep(0.05)
+                continue
+            await curio.sleep(beat_ms / 1000)
+
+    def _step(self, by_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        for key, run in list(self._running.items()):
+            if not self.faults.hang:
+                run.done_ms += by_ms / self.faults.slow
+            if run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
+                self._end(key, "stopped")
+            elif self._clock_ms() > self._deadline_ms:
+                self._end(key, "lapsed")
+            elif run.done_ms >= run.spec.ms:
+                self._end(key, "failed" if run.spec.fail or self.faults.fail else "done")
+
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        run = self._running.pop(key)
+        run.end_ms, run.how = self._clock.now_ms(), how
+        self._count += 1
+        self._ended.append([self._count, key[0], key[1], how, ""])
+        self._highest[key[0]] = max(self._highest.get(key[0], 0), key[1])
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path == "/faults":
+            self.faults = msgspec.json.decode(request.body, type=OrderFaults)
+            return Response.from_json(200, {})
+        if request.headers.get("snipewell-expected-instance", self.name) != self.name:
+            return Response.from_json(421, {})
+        body = msgspec.json.decode(request.body)
+        match request.path:
+            case "/snipewell/run-start":
+                await self._maybe_delay(self._start, body)
+                return self._start(body)
+            case "/snipewell/run-stop":
+                await self._maybe_delay(self._stop, body)
+                return self._stop(body)
+            case "/snipewell/hold":
+                return await self._hold(body)
+        return Response.from_json(404, {})
+
+    async def _maybe_delay(self, carry_out: Any, body: dict[str, Any]) -> None:
+        if self._rng.random() < self.faults.late:
+            born = self._born_ms
+
+            async def later() -> None:
+                await curio.sleep(self._rng.uniform(*_LATE_MS) / 1000)
+                if born == self._born_ms:
+                    carry_out(body)
+
+            await curio.spawn(later, daemon=True)
+            raise CallerGoneError
+
+    def _reject(self, reason: str) -> Response:
+        return Response.from_json(409, {"clockMs": int(self._clock_ms()), "reason": reason})
+
+    def _accept_fence(self, body: dict[str, Any]) -> bool:
+        if body.get("fencingToken", 0) < self._fence:
+            return False
+        self._fence = body.get("fencingToken", 0)
+        return True
+
+    def _start(self, body: dict[str, Any]) -> Response:
+        if not self._accept_fence(body):
+            return self._reject("fence")
+        if body["deadlineMs"] <= self._clock_ms():
+            return self._reject("late")
+        limit_ms = self._clock_ms() + MAX_HOLD_MS
+        self._deadline_ms = max(self._deadline_ms, min(body["deadlineMs"], limit_ms))
+        key = (body["task"], body["attempt"])
+        if key not in self._running:
+            if key[1] <= self._highest.get(key[0], 0):
+                return self._reject("old")
+            spec = msgspec.json.decode(body["specification"], type=RunSpec)
+            run = Run(self.name, key[0], key[1], self._clock.now_ms(), spec)
+            self.history.append(run)
+            self._running[key] = run
+        return Response.from_json(200, {"clockMs": int(self._clock_ms())})
+
+    def _stop(self, body: dict[str, Any]) -> Response:
+        if not self._accept_fence(body):
+            return self._reject("fence")
+        task, attempt = body["task"], body["attempt"]
+        self._highest[task] = max(self._highest.get(task, 0), attempt)
+        run = self._running.get((task, attempt))
+        if run is not None and run.stop_at_ms is None:
+            run.stop_at_ms = self._clock.now_ms() + STOP_MS
+        return Response.from_json(200, {"clockMs": int(self._clock_ms())})
+
+    async def _hold(self, body: dict[str, Any]) -> Response:
+        if not self._accept_fence(body):
+            return self._reject("fence")
+        if "deadlineMs" in body:
+            limit_ms = self._clock_ms() + MAX_HOLD_MS
+            self._deadline_ms = max(self._deadline_ms, min(body["deadlineMs"], limit_ms))
+        acked = body.get("ackCursor", 0)
+        self._ended = [end for end in self._ended if int(str(end[0])) > acked]
+        until_ms = self._clock.now_ms() + body.get("waitMs", 0)
+        while not self._ended and self._clock.now_ms() < until_ms:
+            await curio.sleep(_STEP_S)
+        running = [
+            [task, attempt, "", int(100 * run.done_ms / run.spec.ms), 1]
+            for (task, attempt), run in self._running.items()
+        ]
+        lists = {"running": running, "finished": self._ended, "born": self._born_wall_ms}
+        return Response.from_json(200, {"clockMs": int(self._clock_ms()), **lists})
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,469 @@
+"""Guards against messages of the platform that are misread, and foreign input that does harm."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import TypeVar
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipewell.clock import SystemClock
+from snipewell.desired import CatalogError
+from snipewell.errors import SettingsError
+from snipewell.ids import Revision
+from snipewell.job import (
+    Catalog,
+    JobEnded,
+    JobId,
+    JobOutcome,
+    JobRefused,
+    JobSpec,
+    JobState,
+    JobUnknown,
+    Queue,
+    QueueName,
+    Room,
+    RunEnd,
+)
+from snipewell.log import Log
+from snipewell.platform.boot import parse_boot
+from snipewell.platform.configuration import decode_catalog, evacuated_zone
+from snipewell.platform.front import Front
+from snipewell.platform.jobs import (
+    JobFormatError,
+    decode_client_wait_ms,
+    decode_job,
+    encode_outcome,
+    split_path,
+)
+from snipewell.platform.registration import Registrar
+from snipewell.platform.store import PlatformStore
+from snipewell.platform.upstream import (
+    RegistrationError,
+    _Runs,
+    _to_runs,
+    decode_heartbeat,
+    from_task_name,
+    split_registration,
+    to_task_name,
+)
+from snipewell.standins.metadata import PAGE, MetadataStore, StoreFaults
+from snipewell.store import Follower, Listing, StoreUnreachableError
+from snipewell.web import Request
+
+T = TypeVar("T")
+
+BOOT = """\
+nodeName=side-1
+ip=10.1.0.14
+zone=patan
+listenAddresses.controlPlane=10.1.0.14:8166
+internalPortRange=7720,7735
+platform.address=10.200.1.7:8169
+bounds.maxHoldMs=1000
+bounds.gracePeriodS=6
+app=10.1.0.14:8165
+somethingNew=1
+"""
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Nony24.example",
+            "pathPrefix": "/lohu930/",
+            "priority": 2,
+            "service": "huvo11a",
+            "maxAttempts": 3,
+            "stretchFactor": 1.6,
+            "targetLatencyMs": 60,
+            "timeoutMs": 1500,
+        },
+        {"name": "r-2", "host": "nony24.example", "pathPrefix": "/lohu930/deep/", "service": "s"},
+    ],
+    "services": [{"name": "huvo11a"}],
+    "limits": {"maxBodyBytes": 1000},
+}
+
+JOB = {
+    "specification": "text",
+    "bestEffort": True,
+    "steps": [
+        {"count": 4, "cpu": 500, "memMb": 256, "estimatedMs": 900, "affinity": "r1-3"},
+        {"count": 2, "cpu": 2000, "estimatedMs": 700, "after": [0], "requirements": "a"},
+    ],
+}
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "pos-east",
+    "state": "ready",
+    "sequence": 4,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpus": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1_700_000_000_000,
+}
+
+ID = JobId("5c0e7a21d94b36f8")
+
+
+def encode(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def test_settings_are_read_and_unknown_fields_ignored() -> None:
+    boot = parse_boot(BOOT)
+    assert (boot.name, boot.zone, boot.first_port, boot.last_port) == (
+        "side-1",
+        "patan",
+        7720,
+        7735,
+    )
+    assert (boot.max_hold_ms, boot.grace_ms) == (1_000.0, 6_000.0)
+
+
+@pytest.mark.parametrize(
+    ("text", "part"),
+    [
+        (BOOT.replace("nodeName=side-1\n", ""), "nodeName"),
+        (BOOT.replace("7720,7735", "7720"), "internalPortRange"),
+        (BOOT.replace("maxHoldMs=1000", "maxHoldMs=soon"), "maxHoldMs"),
+        ("what is this", "expected name=value"),
+    ],
+)
+def test_unusable_settings_name_the_field(text: str, part: str) -> None:
+    with pytest.raises(SettingsError, match=part):
+        parse_boot(text, "boot.conf")
+
+
+def test_a_configuration_becomes_a_catalog() -> None:
+    catalog = decode_catalog(encode(CONFIGURATION), Revision(42))
+    assert (catalog.revision, catalog.version, catalog.max_body_bytes) == (42, "7", 1000)
+    queue = catalog.find("nony24.example", f"/lohu930/{ID}")
+    assert queue is not None
+    assert (queue.name, queue.max_attempts, queue.stretch, queue.latency_ms) == ("r-1", 3, 1.6, 60)
+
+
+def test_the_longest_prefix_selects_the_queue() -> None:
+    catalog = decode_catalog(encode(CONFIGURATION), Revision(1))
+    queue = catalog.find("nony24.example", f"/lohu930/deep/{ID}")
+    assert queue is not None
+    assert queue.name == "r-2"
+    assert catalog.find("nony24.example", "/other/") is None
+    assert catalog.find("else.example", "/lohu930/") is None
+
+
+def test_a_queue_with_recommendations_is_marked_as_unsupported() -> None:
+    routes = [{**CONFIGURATION["routes"][1], "recommendation": {"decisionMs": 5}}]  # type: ignore[index,dict-item]
+    catalog = decode_catalog(encode({**CONFIGURATION, "routes": routes}), Revision(1))
+    assert catalog.queues[0].unsupported
+
+
+@given(st.binary(max_size=200))
+def test_foreign_bytes_are_no_catalog(value: bytes) -> None:
+    with pytest.raises(CatalogError):
+        decode_catalog(value, Revision(1))
+
+
+def test_only_keys_of_evacuations_name_a_zone() -> None:
+    assert evacuated_zone("op/evacuate/patan") == "patan"
+    assert evacuated_zone("op/config") == ""
+
+
+def test_a_job_is_decoded() -> None:
+    spec = decode_job(ID, encode(JOB))
+    first, second = spec.steps
+    assert (spec.kept, spec.find_unsupported(), spec.chain_ms()) == (False, "", 1_600.0)
+    assert (first.count, first.resources, first.near_rack) == (4, Room(500, 256, 0), "r1-3")
+    assert (second.after, second.label) == ((0,), "a")
+
+
+def test_a_job_without_the_mark_is_kept() -> None:
+    """Taking it for one that needn't be kept would lose it with the process."""
+    spec = decode_job(ID, encode({key: JOB[key] for key in ("specification", "steps")}))
+    assert spec.kept
+    assert spec.find_unsupported()
+
+
+@pytest.mark.parametrize("field", ["gang", "longRunning", "fills", "targetMs", "antiAffinity"])
+def test_kinds_of_step_that_are_not_built_are_named(field: str) -> None:
+    """Running them as ordinary tasks would break what the client asked for."""
+    step = {"count": 1, "cpu": 1, field: 1 if field in ("targetMs", "antiAffinity") else True}
+    spec = decode_job(ID, encode({"specification": "", "bestEffort": True, "steps": [step]}))
+    assert spec.find_unsupported()
+
+
+def test_a_job_that_repeats_is_refused() -> None:
+    assert decode_job(ID, encode({**JOB, "repetitions": 3})).find_unsupported()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {},
+        {"specification": 5, "steps": []},
+        {"specification": "x" * 4_001, "steps": [{"count": 1}]},
+        {"specification": "", "steps": []},
+        {"specification": "", "steps": [{"count": 100_000}]},
+        {"specification": "", "steps": [{"count": 1, "cpu": -1}]},
+        {"specification": "", "steps": [{"count": 1, "after": [0]}]},
+        {"specification": "", "steps": [{"count": 1}, {"count": 1, "after": [2]}]},
+    ],
+)
+def test_a_job_that_cannot_be_read_is_refused(body: object) -> None:
+    with pytest.raises(JobFormatError):
+        decode_job(ID, encode(body))
+
+
+@given(st.binary(max_size=300))
+def test_foreign_bytes_are_no_job(body: bytes) -> None:
+    with pytest.raises(JobFormatError):
+        decode_job(ID, body)
+
+
+@given(st.text(max_size=40))
+def test_only_sixteen_hexadecimal_digits_name_a_job(rest: str) -> None:
+    named = split_path("/p/" + rest, "/p/")
+    is_id = len(rest) == 16 and all(c in "0123456789abcdef" for c in rest)
+    assert (named is not None) == is_id
+
+
+def test_the_clients_wait_is_read_and_nonsense_ignored() -> None:
+    assert (
+        decode_client_wait_ms(Request("POST", "/", headers={"snipewell-deadline-ms": "500"})) == 500
+    )
+    for text in ("", "soon", "-5", "nan", "inf"):
+        request = Request("POST", "/", headers={"snipewell-deadline-ms": text})
+        assert decode_client_wait_ms(request) is None
+
+
+def test_outcomes_tell_whether_the_job_has_run() -> None:
+    assert encode_outcome(JobEnded(JobState.FAILED)).body == b'{"state":"failed"}'
+    busy = encode_outcome(JobRefused("no room", 1_200.0, True))
+    assert (busy.status, busy.headers["retry-after"]) == (429, "2")
+    assert encode_outcome(JobRefused("not supported", 0.0)).status == 503
+    assert encode_outcome(JobUnknown("lost")).status == 504
+
+
+def test_a_heartbeat_describes_the_upstream() -> None:
+    upstream, number = decode_heartbeat("i-1", encode(BEAT))
+    assert (upstream.upstream, upstream.capacity.cpu_milli, number) == ("i-1", 16_000, 4)
+    assert not upstream.draining
+    assert decode_heartbeat("i-1", encode({**BEAT, "state": "draining"}))[0].draining
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "state", "sequence", "born"])
+def test_a_heartbeat_with_a_field_missing_or_of_another_type_names_no_upstream(field: str) -> None:
+    for value in ({k: v for k, v in BEAT.items() if k != field}, {**BEAT, field: [1]}):
+        with pytest.raises(RegistrationError):
+            decode_heartbeat("i-1", encode(value))
+
+
+def test_a_state_that_is_not_known_names_no_upstream() -> None:
+    with pytest.raises(RegistrationError):
+        decode_heartbeat("i-1", encode({**BEAT, "state": "resting"}))
+
+
+@given(st.binary(max_size=200))
+def test_foreign_bytes_are_no_heartbeat(body: bytes) -> None:
+    with pytest.raises(RegistrationError):
+        decode_heartbeat("i-1", body)
+
+
+def test_paths_of_registration() -> None:
+    assert split_registration("/snipewell/instances/i-1/heartbeat") == ("i-1", "heartbeat")
+    assert split_registration("/snipewell/instances/i-1/deregister") == ("i-1", "deregister")
+    assert split_registration("/snipewell/instances/i-1/other") is None
+    assert split_registration("/else") is None
+
+
+def test_task_names_are_translated_both_ways() -> None:
+    assert to_task_name(f"{ID}/2/17") == f"{ID}.0.2.17"
+    assert from_task_name(f"{ID}.0.2.17") == f"{ID}/2/17"
+    assert from_task_name("strange") == "strange"
+
+
+def test_rows_that_cannot_be_read_are_passed_over() -> None:
+    runs = _to_runs(
+        _Runs(
+            500.0,
+            [[f"{ID}.0.0.1", 2, "", 41, 3], ["odd"], [1, 2, 3, 4]],
+            [[58, f"{ID}.0.0.9", 1, "done", ""], [59, f"{ID}.0.0.8", 1, "vanished", ""], ["x"]],
+            7,
+        )
+    )
+    assert [(row.task, row.percent) for row in runs.running] == [(f"{ID}/0/1", 41)]
+    assert [(row.number, row.end) for row in runs.ended] == [(58, RunEnd.DONE), (59, RunEnd.LOST)]
+
+
+class FakeAgent:
+    def __init__(self) -> None:
+        self.seen: list[object] = []
+
+    async def on_upstream(self, upstream: object) -> None:
+        self.seen.append(upstream)
+
+    async def on_upstream_gone(self, reason: str) -> None:
+        self.seen.append(reason)
+
+
+def beat(registrar: Registrar, **fields: object) -> int:
+    path = "/snipewell/instances/i-1/heartbeat"
+    request = Request("POST", path, body=encode({**BEAT, **fields}))
+    return curio.run(registrar.handle, request).status
+
+
+def test_a_heartbeat_that_was_overtaken_changes_nothing() -> None:
+    """One of a crashed life may arrive after the new life has registered."""
+    agent = FakeAgent()
+    registrar = Registrar(agent, Log())
+    assert beat(registrar, sequence=5) == 200
+    assert beat(registrar, sequence=4, state="draining") == 200
+    assert beat(registrar, sequence=9, born=BEAT["born"] - 1) == 200  # type: ignore[operator]
+    assert len(agent.seen) == 1
+    beat(registrar, sequence=1, born=BEAT["born"] + 1)  # type: ignore[operator]
+    assert len(agent.seen) == 2
+
+
+def test_a_heartbeat_that_cannot_be_read_leaves_the_upstream_as_it_was() -> None:
+    agent = FakeAgent()
+    registrar = Registrar(agent, Log())
+    beat(registrar)
+    assert beat(registrar, capacity="much") == 400
+    assert len(agent.seen) == 1
+
+
+def test_an_upstream_that_leaves_is_forgotten_and_a_stranger_is_not() -> None:
+    agent = FakeAgent()
+    registrar = Registrar(agent, Log())
+    beat(registrar)
+    for name in ("i-2", "i-1"):
+        curio.run(registrar.handle, Request("POST", f"/snipewell/instances/{name}/deregister"))
+    assert agent.seen[1:] == ["it has left"]
+
+
+class FakeEntry:
+    def __init__(self, catalog: Catalog | None) -> None:
+        self.catalog = catalog
+        self.is_ready = catalog is not None
+        self.submitted: list[tuple[str, str, float]] = []
+
+    def count_pending(self, queue: QueueName) -> int:
+        return 12
+
+    async def submit(self, queue: Queue, spec: JobSpec, client_wait_ms: float) -> JobOutcome:
+        self.submitted.append((queue.name, spec.job, client_wait_ms))
+        return JobEnded(JobState.COMPLETED)
+
+
+def call(entry: FakeEntry, method: str, path: str, body: bytes = b"", **headers: str) -> int:
+    request = Request(method, path, headers={"host": "nony24.example", **headers}, body=body)
+    return curio.run(Front(entry).handle, request).status
+
+
+def test_the_front_routes_clients_requests() -> None:
+    entry = FakeEntry(decode_catalog(encode(CONFIGURATION), Revision(1)))
+    assert call(entry, "POST", f"/lohu930/{ID}", encode(JOB)) == 200
+    assert entry.submitted[0][:2] == ("r-1", ID)
+    assert call(entry, "GET", "/lohu930/") == 200
+    assert call(entry, "GET", f"/lohu930/{ID}") == 410
+    assert call(entry, "DELETE", f"/lohu930/{ID}") == 410
+    assert call(entry, "POST", "/lohu930/not-an-id", encode(JOB)) == 404
+    assert call(entry, "GET", "/removed/") == 404
+    assert call(entry, "POST", f"/lohu930/{ID}", b"{") == 400
+    assert call(entry, "POST", f"/lohu930/{ID}", b" " * 1_001) == 413
+
+
+def test_an_entry_without_configuration_refuses_and_is_not_ready() -> None:
+    entry = FakeEntry(None)
+    assert call(entry, "POST", f"/lohu930/{ID}", encode(JOB)) == 503
+    request = Request("GET", "/snipewell/readiness")
+    assert curio.run(Front(entry).handle_readiness, request).status == 503
+
+
+def with_store(work: Callable[[MetadataStore, PlatformStore], Awaitable[T]]) -> T:
+    async def main() -> T:
+        stand_in = MetadataStore(Random(1))
+        server = await stand_in.serve()
+        store = PlatformStore(f"127.0.0.1:{server.address[1]}", SystemClock(), 500.0)
+        try:
+            return await work(stand_in, store)
+        finally:
+            await store.close()
+            await server.stop(0)
+
+    result: T = curio.run(main)
+    return result
+
+
+def test_a_listing_reads_all_pages() -> None:
+    async def work(stand_in: MetadataStore, store: PlatformStore) -> int:
+        for number in range(PAGE + 20):
+            stand_in.put(f"op/k{number:04}", b"v")
+        return len((await store.list("op/")).values)
+
+    assert with_store(work) == PAGE + 20
+
+
+def test_a_watch_tells_changes_and_a_forgotten_history_lists_anew() -> None:
+    async def work(stand_in: MetadataStore, store: PlatformStore) -> None:
+        stand_in.put("op/config", b"one")
+        follower = Follower(store, "op/")
+        first = await follower.next(100)
+        assert isinstance(first, Listing)
+        stand_in.put("op/evacuate/z", b"{}")
+        news = await follower.next(100)
+        assert not isinstance(news, Listing)
+        assert [change.key for change in news.changes] == ["op/evacuate/z"]
+        stand_in.delete("op/evacuate/z")
+        stand_in.forget_history()
+        again = await follower.next(100)
+        assert isinstance(again, Listing)
+        assert list(again.values) == ["op/config"]
+
+    with_store(work)
+
+
+def test_a_lease_keeps_a_key_until_it_ends() -> None:
+    async def work(stand_in: MetadataStore, store: PlatformStore) -> None:
+        lease = await store.lease(5_000)
+        assert await store.put("snipewell/entries/e1", b"\x00\xff", lease)
+        listing = await store.list("snipewell/")
+        assert listing.values["snipewell/entries/e1"].value == b"\x00\xff"
+        assert await store.renew(lease)
+        await store.end_lease(lease)
+        assert not await store.renew(lease)
+        assert not await store.put("snipewell/entries/e1", b"", lease)
+        assert stand_in.keys("snipewell/") == []
+
+    with_store(work)
+
+
+def test_a_store_that_is_down_or_slow_raises() -> None:
+    async def work(stand_in: MetadataStore, store: PlatformStore) -> None:
+        for faults in (StoreFaults(down=True), StoreFaults(slow_ms=900)):
+            stand_in.faults = faults
+            with pytest.raises(StoreUnreachableError):
+                await store.list("op/")
+
+    with_store(work)
+
+
+def test_a_value_that_is_not_base64_does_not_hide_the_others() -> None:
+    async def work(stand_in: MetadataStore, store: PlatformStore) -> None:
+        stand_in.put("op/a", b"good")
+        stand_in.put("op/b", b"bad")
+        stand_in._items["op/b"]["value"] = "***"
+        values = (await store.list("op/")).values
+        assert values["op/a"].value == b"good"
+        assert base64.b64encode(b"bad").decode() not in str(values["op/b"].value)
+
+    with_store(work)
