--- a/snipewell/client.py
+++ b/snipewell/client.py
@@ -77,12 +77,14 @@
         return False
 
     async def send(self, request: Request, host: str) -> None:
-        """Send ``request`` in full."""
+        """Send ``request`` in full; a ``host`` among its headers goes before ``host``."""
         self.sent = False
         target = request.path
         if request.query:
             target += "?" + urlencode(request.query)
-        headers = [("Host", host), ("Content-Length", str(len(request.body)))]
+        headers = [("Content-Length", str(len(request.body)))]
+        if "host" not in request.headers:
+            headers.append(("Host", host))
         pairs = [(name.encode(), value.encode()) for name, value in headers]
         pairs += [(name.encode(), value.encode()) for name, value in request.headers.items()]
         head = h11.Request(method=request.method, target=target, headers=pairs)
