Explain a job from log lines, and check settings of the platform

Cause: on-call engineers have only logs, in which one job's lines are spread over processes.

Change: snipewell explain JOB LOG...; python -m snipewell.platform check FILE; tests of the declarations, the directory, the registration and the log's buffer.

--- a/snipewell/cli.py
+++ b/snipewell/cli.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, NoReturn
 
 import cappa
@@ -182,6 +183,25 @@
         _exit(run)
 
 
+@cappa.command(name="explain")
+@dataclass
+class ExplainCommand(_Command):
+    """Print what log lines say of a job, in the order in which it happened."""
+
+    job: Annotated[str, cappa.Arg(help="id of the job")]
+    logs: Annotated[list[str], cappa.Arg(help="log files of entries and agents")]
+
+    def _run(self) -> None:
+        from .explain import explain
+
+        async def run() -> int:
+            lines = [line for log in self.logs for line in Path(log).read_bytes().splitlines()]
+            print("\n".join(explain(self.job, lines)))
+            return OK
+
+        _exit(run)
+
+
 @cappa.command(name="apply")
 @dataclass
 class ApplyCommand(_Operating):
@@ -316,6 +336,7 @@
         | UpstreamCommand
         | BalancerCommand
         | CheckCommand
+        | ExplainCommand
         | ApplyCommand
         | GetCommand
         | WatchCommand
--- /dev/null
+++ b/snipewell/explain.py
@@ -0,0 +1,73 @@
+"""Finds what the logs of entries and agents say of one job, in the order in which it happened."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+_HIDDEN = frozenset(
+    {"node", "message", "timestamp", "level", "task_uuid", "task_level", "message_type", "job"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log. ``at_s`` is the writer's time of day in seconds since the Unix epoch."""
+
+    at_s: float
+    node: str
+    text: str
+    fields: dict[str, object]
+
+    def __str__(self) -> str:
+        fields = " ".join(f"{name}={value}" for name, value in self.fields.items() if value != "")
+        return f"{self.node}: {self.text} {fields}".rstrip()
+
+
+def parse_line(raw: bytes) -> dict[str, object] | None:
+    """Return the fields of a line of a log, or None if it is none, such as a traceback's."""
+    start = raw.find(b"{")
+    if start < 0:
+        return None
+    try:
+        fields = msgspec.json.decode(raw[start:])
+    except msgspec.DecodeError:
+        return None
+    return fields if isinstance(fields, dict) and "message" in fields else None
+
+
+def find_lines(job: str, logs: Iterable[bytes]) -> list[Line]:
+    """Return the lines on ``job``, by time. Times of different VMs may differ by milliseconds."""
+    found = list(_select(job, logs))
+    found.sort(key=lambda line: line.at_s)
+    return found
+
+
+def _select(job: str, logs: Iterable[bytes]) -> Iterator[Line]:
+    for raw in logs:
+        fields = parse_line(raw) if job.encode() in raw else None
+        if fields is None:
+            continue
+        if fields.get("job") != job and str(fields.get("task", "")).split("/")[0] != job:
+            continue
+        at_s = fields.get("timestamp")
+        yield Line(
+            float(at_s) if isinstance(at_s, int | float) else 0.0,
+            str(fields.get("node", "")),
+            str(fields["message"]),
+            {name: value for name, value in fields.items() if name not in _HIDDEN},
+        )
+
+
+def explain(job: str, logs: Iterable[bytes]) -> list[str]:
+    """Return what happened to ``job``, one line for each event, with the time since the first.
+
+    For example ``+  688 ms entry-1: scheduler: job ended outcome=JobRefused ...``.
+    """
+    lines = find_lines(job, logs)
+    if not lines:
+        return [f"no line on {job}"]
+    first_s = lines[0].at_s
+    return [f"+{1000 * (line.at_s - first_s):6.0f} ms {line}" for line in lines]
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -1,5 +1,7 @@
 """The daemons on the platform: ``python -m snipewell.platform entry`` or ``agent``.
 
+``python -m snipewell.platform check FILE`` reads a settings file without using it.
+
 The listening socket is opened first; the modules of the daemon are loaded after that.
 """
 
@@ -75,16 +77,18 @@
 
 def main() -> None:
     """Run the role named by the first argument; exit with status 2 if the settings are unusable."""
-    role = sys.argv[1] if len(sys.argv) == 2 else ""
     try:
-        boot = read_boot()
-        match role:
-            case "entry":
+        match sys.argv[1:]:
+            case ["entry"]:
+                boot = read_boot()
                 _run_entry(boot, _listen(boot.client_address))
-            case "agent":
+            case ["agent"]:
+                boot = read_boot()
                 _run_agent(boot, _listen(boot.registration_address))
+            case ["check", file]:
+                print(f"{file}: valid settings of {read_boot(file).name}")
             case _:
-                sys.exit("usage: python -m snipewell.platform entry|agent")
+                sys.exit("usage: python -m snipewell.platform entry|agent|check FILE")
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(SETTINGS_ERROR_STATUS)
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -87,9 +87,9 @@
     )
 
 
-def read_boot() -> Boot:
-    """Read the settings file that the environment names; raise SettingsError."""
-    file = os.environ.get(FILE_VARIABLE, "")
+def read_boot(file: str = "") -> Boot:
+    """Read ``file``, or the settings file that the environment names; raise SettingsError."""
+    file = file or os.environ.get(FILE_VARIABLE, "")
     if not file:
         raise SettingsError(FILE_VARIABLE, None, "", "the variable doesn't name a settings file")
     try:
--- /dev/null
+++ b/tests/test_desired.py
@@ -0,0 +1,225 @@
+"""Guards against declarations that go back, and against entries lost with the store."""
+
+from __future__ import annotations
+
+import os
+from random import Random
+
+import curio
+import pytest
+
+from snipewell.clock import ManualClock
+from snipewell.desired import CatalogError, Desired, OperatorKeys
+from snipewell.directory import (
+    ENTRIES_PREFIX,
+    KEEP_ABSENT_MS,
+    Directory,
+    EntryAddress,
+    encode_address,
+)
+from snipewell.ids import Revision
+from snipewell.job import Catalog
+from snipewell.log import Log
+from snipewell.logbuffer import LogBuffer
+from snipewell.store import Change, Changes, Listing, StoreUnreachableError, Value
+from snipewell.storetask import Registration
+
+
+def decode(value: bytes, revision: Revision) -> Catalog:
+    if value == b"bad":
+        raise CatalogError("expected a catalog")
+    return Catalog(revision, value.decode(), ())
+
+
+KEYS = OperatorKeys(
+    "op/", "op/config", decode, lambda key: key[5:] if key.startswith("op/z/") else ""
+)
+
+
+def listing(revision: int, **values: tuple[int, bytes]) -> Listing:
+    items = {
+        f"op/{name.replace('__', '/')}": Value(Revision(at), value)
+        for name, (at, value) in values.items()
+    }
+    return Listing(0.0, Revision(revision), items)
+
+
+def changes(revision: int, *news: tuple[str, bytes, bool]) -> Changes:
+    found = [Change(key, Revision(revision), value, deleted) for key, value, deleted in news]
+    return Changes(0.0, Revision(revision), found)
+
+
+def test_a_listing_puts_catalog_and_zones_into_force() -> None:
+    desired = Desired(KEYS)
+    assert desired.apply(listing(9, config=(5, b"v1"), z__patan=(7, b"{}")))
+    assert desired.catalog is not None
+    assert (desired.catalog.version, desired.zones_out) == ("v1", frozenset({"patan"}))
+
+
+def test_a_listing_older_than_what_is_known_is_ignored() -> None:
+    """A store that lags, or an answer that was overtaken, must not bring a zone back."""
+    desired = Desired(KEYS)
+    desired.apply(listing(9, config=(8, b"new"), z__patan=(9, b"{}")))
+    assert not desired.apply(listing(6, config=(5, b"old")))
+    assert desired.zones_out == {"patan"}
+    assert desired.catalog is not None
+    assert desired.catalog.version == "new"
+
+
+def test_a_catalog_never_goes_back_even_in_a_newer_listing() -> None:
+    desired = Desired(KEYS)
+    desired.apply(listing(9, config=(8, b"new")))
+    desired.apply(listing(12, config=(5, b"old")))
+    assert desired.catalog is not None
+    assert desired.catalog.version == "new"
+
+
+def test_changes_take_zones_out_and_back() -> None:
+    desired = Desired(KEYS)
+    desired.apply(changes(3, ("op/z/a", b"{}", False), ("op/z/b", b"{}", False)))
+    desired.apply(changes(4, ("op/z/a", b"", True)))
+    assert desired.zones_out == {"b"}
+
+
+def test_a_catalog_that_cannot_be_read_leaves_the_last_in_force_and_is_told() -> None:
+    desired = Desired(KEYS)
+    desired.apply(listing(9, config=(8, b"good")))
+    assert desired.apply(changes(10, ("op/config", b"bad", False)))
+    assert desired.catalog is not None
+    assert desired.catalog.version == "good"
+    assert "revision 10" in desired.error
+
+
+def entry(name: str, address: str = "127.0.0.1:1") -> bytes:
+    return encode_address(EntryAddress(name, address, "life"))
+
+
+def entries(**values: bytes) -> Listing:
+    items = {ENTRIES_PREFIX + name: Value(Revision(1), value) for name, value in values.items()}
+    return Listing(0.0, Revision(1), items)
+
+
+def test_an_entry_that_lapsed_while_the_store_was_away_is_kept_for_a_while() -> None:
+    directory = Directory()
+    directory.apply(entries(e1=entry("e1")), 0.0)
+    directory.apply(entries(), 1_000.0)
+    assert list(directory.entries(1_000.0 + KEEP_ABSENT_MS - 1)) == ["e1"]
+    assert directory.entries(1_000.0 + KEEP_ABSENT_MS) == {}
+
+
+def test_an_entry_that_is_back_at_another_address_is_found_there() -> None:
+    directory = Directory()
+    directory.apply(entries(e1=entry("e1")), 0.0)
+    directory.apply(entries(), 1_000.0)
+    directory.apply(entries(e1=entry("e1", "127.0.0.1:2")), 2_000.0)
+    assert directory.entries(60_000.0)["e1"].address == "127.0.0.1:2"
+
+
+def test_a_registration_of_another_writer_hides_no_other() -> None:
+    directory = Directory()
+    directory.apply(entries(e1=entry("e1"), bad=b"\xff{"), 0.0)
+    assert list(directory.entries(0.0)) == ["e1"]
+    assert directory.unreadable == [ENTRIES_PREFIX + "bad"]
+
+
+class FakeStore:
+    def __init__(self) -> None:
+        self.down = False
+        self.leases = 0
+        self.written: list[str] = []
+        self.alive = True
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnreachableError("store", "down")
+
+    async def lease(self, ttl_ms: int) -> str:
+        self._check()
+        self.leases += 1
+        return str(self.leases)
+
+    async def renew(self, lease: str) -> bool:
+        self._check()
+        return self.alive
+
+    async def end_lease(self, lease: str) -> None:
+        self._check()
+
+    async def put(self, key: str, value: bytes, lease: str) -> bool:
+        self._check()
+        self.written.append(key)
+        return True
+
+    async def list(self, prefix: str) -> Listing:
+        raise NotImplementedError
+
+    async def watch(self, prefix: str, after: Revision, wait_ms: float) -> Changes:
+        raise NotImplementedError
+
+
+def registration(store: FakeStore) -> Registration:
+    address = EntryAddress("e1", "127.0.0.1:1", "life")
+    return Registration(store, address, ManualClock(), Log(), Random(1))
+
+
+def test_a_registration_is_renewed_and_written_again_when_its_lease_has_ended() -> None:
+    store = FakeStore()
+    kept = registration(store)
+    curio.run(kept._keep)
+    curio.run(kept._keep)
+    assert len(store.written) == 1
+    store.alive = False
+    curio.run(kept._keep)
+    assert (len(store.written), store.leases) == (2, 2)
+
+
+def test_a_registration_that_vanishes_under_its_lease_is_written_again() -> None:
+    """The store may take keys away while the renewals go on succeeding."""
+    store = FakeStore()
+    kept = registration(store)
+    curio.run(kept._keep)
+    curio.run(kept.on_own_key, entries())
+    curio.run(kept._keep)
+    assert len(store.written) == 2
+
+
+def test_a_registration_cannot_be_withdrawn_while_the_store_is_down() -> None:
+    store = FakeStore()
+    kept = registration(store)
+    curio.run(kept._keep)
+    store.down = True
+    curio.run(kept.withdraw)
+
+
+def test_log_lines_beyond_the_buffer_are_dropped_and_counted() -> None:
+    """A reader that stands still must neither block the process nor grow its memory."""
+    reading, writing = os.pipe()
+    try:
+        buffer = LogBuffer(writing, max_bytes=20_000)
+        for number in range(3_000):
+            buffer.add({"message": "x" * 100, "number": number})
+            buffer.flush()
+        assert buffer.dropped > 0
+        read = b""
+        for _ in range(200):
+            read += os.read(reading, 65_536)
+            buffer.flush()
+            if b"lines dropped" in read:
+                break
+        assert b"lines dropped" in read
+    finally:
+        os.close(reading)
+        os.close(writing)
+
+
+def test_a_log_that_nobody_reads_any_more_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(fileno: int, data: bytes) -> int:
+        raise BrokenPipeError
+
+    reading, writing = os.pipe()
+    buffer = LogBuffer(writing)
+    buffer.add({"message": "x"})
+    monkeypatch.setattr(os, "write", fail)
+    buffer.flush()
+    os.close(reading)
+    os.close(writing)
