--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -555,6 +555,15 @@
             ):
                 wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
                 retry_ms = retry_after_ms(wait_ms, self._rng.random())
+                self._note(
+                    "no room for a job",
+                    job=name,
+                    backlog_ms=round(wait_ms),
+                    rate=round(rate, 1),
+                    waiting_jobs=len(waiting),
+                    upstreams=len(views),
+                    retry_after_ms=round(retry_ms),
+                )
                 self._end_job(job, JobRefused("no room in time", retry_ms, True), now_ms)
 
     def _expect_rate(self, views: list[AgentView], now_ms: float) -> float:
