Bound how long ends stay unknown, and open sessions sooner after a start

While orders were carried out late, a call for the lists of runs without an answer hid all ends of an upstream for 450 ms, and its runs were taken for stalled. After the power loss agents looked for entries before the store's first answer and then waited 200 ms, and the first session was refused because its first frame was lost while the connection was opened.

Change: calls for the lists wait 100 ms and 60 ms more for their answer; a run is stalled only by what the lists say; news of the directory wakes the connecting task; a first frame is repeated after 30 ms, and a session of which an entry has seen no first frame isn't refused.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -107,6 +107,9 @@
         events: list[SessionEvent] = []
         if view is None or view.channel.session != frame.session:
             if not isinstance(frame.body, Hello):
+                if frame.acked == 0:
+                    # The agent has heard nothing in this session yet; its first frame was lost.
+                    return []
                 goodbye = EntryFrame(frame.session, 0, 0, now_ms, Goodbye())
                 self._send(SendAgent(peer, goodbye))
                 return []
--- a/snipewell/channel.py
+++ b/snipewell/channel.py
@@ -19,6 +19,8 @@
 
 RESEND_MS = 120.0
 """Wait for an acknowledgement before frames are repeated; several round trips between zones."""
+FIRST_RESEND_MS = 30.0
+"""The same for the first frame, which is lost if the connection is still being opened."""
 MAX_UNACKED = 5_000
 """Frames that a channel keeps for repetition; far more than a session has in flight."""
 
@@ -75,7 +77,7 @@
         number = self._next_number
         self._next_number += 1
         if not self._unacked:
-            self._resend_at_ms = now_ms + RESEND_MS
+            self._resend_at_ms = now_ms + (RESEND_MS if number > 1 else FIRST_RESEND_MS)
         self._unacked.append((number, body))
         return Frame(self.session, number, self._received, now_ms, body)
 
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -46,14 +46,18 @@
 HANDSHAKE_MS = 250.0
 """Longest wait for the first frame of an entry, which bounds the error in the age of later ones; a
 session that takes longer to open is replaced at once, which costs one round trip."""
-START_TIMEOUT_MS = 250.0
-"""Wait for the answer to a start, which the upstream gives within a few milliseconds."""
+START_TIMEOUT_MS = 120.0
+"""Wait for the answer to an order, which the upstream gives within a few milliseconds. Too short a
+wait costs one look at the list of runs, which then tells that the start has happened."""
 STOP_RETRY_MS = 150.0
 """Wait before a stop is repeated; three times the upstream's ``stopGraceMs``."""
 LOOK_RETRY_MS = 150.0
 """Wait before the list of runs is asked for again after no answer."""
-HOLD_WAIT_MS = 200
-"""Longest wait of a call for the next end; a fifth of the longest lease (``maxHoldMs``)."""
+HOLD_WAIT_MS = 100
+"""Longest wait of a call for the next end; a tenth of the longest lease (``maxHoldMs``). While a
+call remains without an answer, ends are not known, so it bounds how late they can be."""
+HOLD_MARGIN_MS = 60.0
+"""Wait for the answer beyond ``HOLD_WAIT_MS``; the upstream is on the same VM."""
 IDLE_LOOK_MS = 1_000.0
 """Pause between looks at an idle upstream, which keep the estimate of its clock within 20 ms."""
 REPORT_MS = 10.0
@@ -736,7 +740,8 @@
                 self._call_stop(run, now_ms)
             return
         patience_ms = max(STALL_MS, STALL_SHARE * run.order.estimate_ms)
-        if now_ms - run.progress_ms >= patience_ms:
+        # Without lists from the upstream, nothing is known of the run's progress.
+        if self._answered_ms - run.progress_ms >= patience_ms:
             self.counters.stalled += 1
             self._stop(key, RunEnd.STALLED.value, now_ms)
 
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -16,6 +16,7 @@
 from .desired import Desired, OperatorKeys
 from .directory import ENTRIES_PREFIX, Directory
 from .executor import (
+    HOLD_MARGIN_MS,
     START_TIMEOUT_MS,
     CallHold,
     CallStart,
@@ -107,6 +108,7 @@
         self._desired = Desired(keys)
         self._directory = Directory()
         self._dealers: Dealers | None = None
+        self._entries_changed = curio.Event()
         self._holding = False
         self._hold_after_ms = 0.0
         self._declare_metrics()
@@ -165,7 +167,7 @@
 
     async def _hold(self, call: CallHold, regular: bool) -> None:
         """Perform a call; a regular one is followed by the next one."""
-        answer = await self._orders.hold(call, START_TIMEOUT_MS)
+        answer = await self._orders.hold(call, HOLD_MARGIN_MS)
         if regular:
             self._holding = False
         match answer:
@@ -188,6 +190,7 @@
 
     async def _on_entries(self, news: Listing | Changes) -> None:
         self._directory.apply(news, self._clock.now_ms())
+        await self._entries_changed.set()
         for key in self._directory.unreadable:
             self._log.error("store", "registration can't be read", key=key)
 
@@ -213,7 +216,8 @@
                     await self._dealers.disconnect(name)
             for name in self._core.take_silent():
                 await self._dealers.replace(name)
-            await curio.sleep(CONNECT_MS / 1000)
+            self._entries_changed.clear()
+            await curio.ignore_after(CONNECT_MS / 1000, self._entries_changed.wait)
 
     async def run(
         self,
--- a/tests/test_agentsession.py
+++ b/tests/test_agentsession.py
@@ -55,11 +55,26 @@
     """The entry was restarted; the agent's runs for it have no owner any more."""
     bench = Bench()
     channel: Channel[AgentBody, EntryBody] = Channel("old", 0.0)
+    order = Channel[EntryBody, AgentBody]("old", 0.0).send(Notice(1, []), 0.0)
+    channel.receive(order, 0.0)
     bench.sessions.on_frame("p1", channel.send(Report(REPORT), 0.0), 0.0)
     assert isinstance(bench.sent[-1].frame.body, Goodbye)
     assert bench.sessions.views() == []
 
 
+def test_a_session_whose_first_frame_was_lost_is_not_refused() -> None:
+    """The connection was still being opened; the first frame comes again within 30 ms."""
+    bench = Bench()
+    channel: Channel[AgentBody, EntryBody] = Channel("s1", bench.now)
+    channel.send(Hello("a1", NO_UPSTREAM), bench.now)
+    report = channel.send(Report(REPORT), bench.now)
+    bench.sessions.on_frame("p1", report, bench.now)
+    assert bench.sent == []
+    for frame in channel.resend(bench.now + 30.0):
+        bench.sessions.on_frame("p1", frame, bench.now + 30.0)
+    assert [view.upstream for view in bench.sessions.views()] == ["u1"]
+
+
 def test_a_silent_agent_is_given_up_only_after_its_own_limit_has_run_out() -> None:
     bench = Bench()
     bench.open("p1")
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -333,6 +333,21 @@
     assert bench.ends()[0][2] == "stalled"
 
 
+def test_a_run_is_not_taken_for_stalled_while_the_upstream_leaves_calls_unanswered(
+    bench: Bench,
+) -> None:
+    """Calls for the lists may be lost as well; the run may have gone on."""
+    bench.answer(bench.start())
+    bench.hold((RunRow("j/0/0", 1, 12.0),))
+    until = bench.now + STALL_MS + 100
+    while bench.now < until:
+        bench.now += 20
+        bench.beat()
+        bench.core.tick(bench.now)
+        bench.take()
+    assert not any(isinstance(call, CallStop) for call in bench.calls)
+
+
 def test_a_stop_without_effect_is_repeated(bench: Bench) -> None:
     """The stop itself may be among the orders that are carried out late."""
     bench.answer(bench.start())
