--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -12,7 +12,8 @@
 
 from .agentview import AgentView
 from .channel import Channel, ChannelFullError
-from .executor import BEAT_MS, OWNER_SILENCE_MS, STOP_RETRY_MS
+from .entrysession import BEAT_MS, OWNER_SILENCE_MS
+from .executor import STOP_RETRY_MS
 from .order import (
     AgentBody,
     AgentFrame,
--- /dev/null
+++ b/snipewell/entrysession.py
@@ -0,0 +1,190 @@
+"""An agent's sessions with the entries, without any I/O.
+
+The agent opens a session with each entry it knows, and ends one whose entry is silent or doesn't
+know it. Only when the runs of an ended session are gone does it open the next one, so the first
+frame of a session tells the entry that nothing of the last one goes on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from .channel import Channel, ChannelFullError
+from .order import (
+    AgentBody,
+    AgentFrame,
+    EntryBody,
+    EntryFrame,
+    Goodbye,
+    Hello,
+    Report,
+    UpstreamReport,
+)
+
+BEAT_MS = 200.0
+"""Longest pause between two frames of a session; a quarter of the silence that ends it."""
+OWNER_SILENCE_MS = 900.0
+"""Silence after which an entry's runs are stopped. A client sends its job again 1,300 ms after a
+lost answer (``resendIntervalMs``); 400 ms are left to stop the runs, one lost stop included."""
+HANDSHAKE_MS = 250.0
+"""Longest wait for the first frame of an entry, which bounds the error in the age of later ones; a
+session that takes longer to open is replaced at once, which costs one round trip."""
+REPORT_MS = 10.0
+"""Shortest pause between two reports of room to an entry, which bounds their number."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendFrame:
+    """Send a frame to the entry ``peer``."""
+
+    peer: str
+    frame: AgentFrame
+
+
+@dataclass(slots=True)
+class _Peer:
+    """An entry; ``channel`` is None while runs of the last session are still being stopped."""
+
+    channel: Channel[AgentBody, EntryBody] | None = None
+    reported: UpstreamReport | None = None
+    reported_ms: float = float("-inf")
+    sessions: int = 0
+
+
+class EntrySessions:
+    """The sessions of one agent by the names of the entries.
+
+    ``describe`` returns the state of the upstream, ``send`` takes each frame to send, and
+    ``on_end`` is told the entry, the session and the reason when a session has ended.
+    """
+
+    def __init__(
+        self,
+        agent: str,
+        incarnation: str,
+        describe: Callable[[float], UpstreamReport],
+        send: Callable[[SendFrame], None],
+        on_end: Callable[[str, str, str, float], None],
+    ) -> None:
+        self._agent = agent
+        self._incarnation = incarnation
+        self._describe = describe
+        self._send_frame = send
+        self._on_end = on_end
+        self._peers: dict[str, _Peer] = {}
+        self._silent: list[str] = []
+
+    @property
+    def open_count(self) -> int:
+        """Number of open sessions."""
+        return sum(state.channel is not None for state in self._peers.values())
+
+    def connect(self, peer: str, now_ms: float) -> None:
+        """Open a session with the entry ``peer`` unless there is one."""
+        if peer not in self._peers:
+            self._peers[peer] = _Peer()
+            self._open(peer, now_ms)
+
+    def disconnect(self, peer: str, now_ms: float) -> None:
+        """Forget an entry that has gone for good."""
+        if peer in self._peers:
+            self._end(peer, "the entry has gone", now_ms)
+            del self._peers[peer]
+
+    def is_in_touch(self, peer: str, now_ms: float) -> bool:
+        """Return whether the entry ``peer`` has been heard lately."""
+        state = self._peers.get(peer)
+        channel = state.channel if state is not None else None
+        return channel is not None and now_ms - channel.heard_ms < OWNER_SILENCE_MS
+
+    def take_silent(self) -> list[str]:
+        """Return the entries whose connection should be replaced because it went silent."""
+        silent, self._silent = self._silent, []
+        return silent
+
+    def _open(self, peer: str, now_ms: float) -> None:
+        state = self._peers[peer]
+        state.sessions += 1
+        state.channel = Channel(f"{self._incarnation}.{state.sessions}", now_ms)
+        state.reported = self._describe(now_ms)
+        state.reported_ms = now_ms
+        self._send(peer, Hello(self._agent, state.reported), now_ms)
+
+    def _end(self, peer: str, reason: str, now_ms: float) -> None:
+        state = self._peers[peer]
+        if state.channel is not None:
+            session, state.channel = state.channel.session, None
+            self._on_end(peer, session, reason, now_ms)
+
+    def receive(self, peer: str, frame: EntryFrame, now_ms: float) -> list[EntryBody]:
+        """Take in a frame from the entry ``peer``; return what it carries.
+
+        Frames of ended sessions carry nothing any more, and one that is too old ends its session.
+        """
+        state = self._peers.get(peer)
+        if state is None or state.channel is None or frame.session != state.channel.session:
+            return []
+        if isinstance(frame.body, Goodbye):
+            # It carries no number: an entry that doesn't know the session has none to continue.
+            self._end(peer, "the entry doesn't know the session", now_ms)
+            return []
+        limit_ms = OWNER_SILENCE_MS if state.channel.is_answered else HANDSHAKE_MS
+        if state.channel.age_ms(frame, now_ms) >= limit_ms:
+            # This agent or the link stood still; the entry has given the session up, or soon will.
+            self._end(peer, "a frame was held up for too long", now_ms)
+            return []
+        return state.channel.receive(frame, now_ms)
+
+    def send(self, peer: str, session: str, body: AgentBody, now_ms: float) -> None:
+        """Send ``body`` if ``session`` is still that with the entry ``peer``."""
+        state = self._peers.get(peer)
+        if state is not None and state.channel is not None and state.channel.session == session:
+            self._send(peer, body, now_ms)
+
+    def _send(self, peer: str, body: AgentBody | None, now_ms: float) -> None:
+        channel = self._peers[peer].channel
+        if channel is None:
+            return
+        try:
+            self._send_frame(SendFrame(peer, channel.send(body, now_ms)))
+        except ChannelFullError as error:
+            self._end(peer, str(error), now_ms)
+
+    def report(self, now_ms: float) -> None:
+        """Tell each entry of a change of the upstream, at most every ``REPORT_MS``."""
+        report: UpstreamReport | None = None
+        for peer, state in self._peers.items():
+            if state.channel is None or now_ms - state.reported_ms < REPORT_MS:
+                continue
+            report = report or self._describe(now_ms)
+            if report != state.reported:
+                state.reported = report
+                state.reported_ms = now_ms
+                self._send(peer, Report(report), now_ms)
+
+    def tick(self, owners: Collection[tuple[str, str]], now_ms: float) -> int:
+        """Send what is due, and end the sessions of silent entries.
+
+        ``owners`` holds the entry and the session of each run. Return how many entries with runs
+        were silent.
+        """
+        return sum(self._watch(peer, owners, now_ms) for peer in list(self._peers))
+
+    def _watch(self, peer: str, owners: Collection[tuple[str, str]], now_ms: float) -> bool:
+        channel = self._peers[peer].channel
+        if channel is None:
+            if not any(owner == peer for owner, _ in owners):
+                self._open(peer, now_ms)
+            return False
+        silent_ms = now_ms - channel.heard_ms
+        owns = (peer, channel.session) in owners
+        if silent_ms >= (OWNER_SILENCE_MS if owns else 2 * OWNER_SILENCE_MS):
+            self._silent.append(peer)
+            self._end(peer, f"the entry was silent for {silent_ms:.0f} ms", now_ms)
+            return owns
+        for frame in channel.resend(now_ms):
+            self._send_frame(SendFrame(peer, frame))
+        if now_ms - channel.sent_ms >= BEAT_MS:
+            self._send(peer, None, now_ms)
+        return False
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -17,35 +17,23 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .channel import Channel, ChannelFullError
-from .ids import UpstreamId
+from .entrysession import EntrySessions, SendFrame
 from .job import Room, RunEnd
 from .lease import LeaseClock
-from .order import (
-    AgentBody,
-    AgentFrame,
-    EntryBody,
-    EntryFrame,
-    Goodbye,
-    Hello,
-    Notice,
-    Report,
-    RunEnded,
-    RunSlow,
-    StartRun,
-    StopRun,
-    UpstreamReport,
-)
+from .order import EntryFrame, Notice, RunEnded, RunSlow, StartRun, StopRun, UpstreamReport
 from .speed import Speedometer
+from .upstreamcall import (
+    CallHold,
+    CallStart,
+    CallStop,
+    EndRow,
+    RunRow,
+    Runs,
+    StartResult,
+    Upstream,
+    is_same_life,
+)
 
-BEAT_MS = 200.0
-"""Longest pause between two frames of a session; a quarter of the silence that ends it."""
-OWNER_SILENCE_MS = 900.0
-"""Silence after which an entry's runs are stopped. A client sends its job again 1,300 ms after a
-lost answer (``resendIntervalMs``); 400 ms are left to stop the runs, one lost stop included."""
-HANDSHAKE_MS = 250.0
-"""Longest wait for the first frame of an entry, which bounds the error in the age of later ones; a
-session that takes longer to open is replaced at once, which costs one round trip."""
 START_TIMEOUT_MS = 120.0
 """Wait for the answer to an order, which the upstream gives within a few milliseconds. Too short a
 wait costs one look at the list of runs, which then tells that the start has happened."""
@@ -60,8 +48,6 @@
 """Wait for the answer beyond ``HOLD_WAIT_MS``; the upstream is on the same VM."""
 IDLE_LOOK_MS = 1_000.0
 """Pause between looks at an idle upstream, which keep the estimate of its clock within 20 ms."""
-REPORT_MS = 10.0
-"""Shortest pause between two reports of room to an entry, which bounds their number."""
 STALL_MS = 500.0
 STALL_SHARE = 0.35
 """A run is stopped after no progress for ``STALL_MS`` and this share of its expected duration. On a
@@ -87,108 +73,6 @@
 more than the time of day jumps between two lives of an agent."""
 
 
-@dataclass(frozen=True, slots=True)
-class Upstream:
-    """One life of the upstream; ``born_ms`` tells two lives under one id apart."""
-
-    upstream: UpstreamId
-    born_ms: int
-    service: str
-    zone: str
-    address: str
-    capacity: Room
-    labels: tuple[str, ...] = ()
-    draining: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class RunRow:
-    """A run that the upstream lists; ``percent`` is its progress."""
-
-    task: str
-    attempt: int
-    percent: float
-
-
-@dataclass(frozen=True, slots=True)
-class EndRow:
-    """An end that the upstream lists under ``number``."""
-
-    number: int
-    task: str
-    attempt: int
-    end: RunEnd
-
-
-@dataclass(frozen=True, slots=True)
-class Runs:
-    """The upstream's lists of runs, and its clock."""
-
-    clock_ms: float
-    born_ms: int | None
-    running: tuple[RunRow, ...]
-    ended: tuple[EndRow, ...]
-
-
-class StartResult(Enum):
-    """The upstream's answer to the order to start a run."""
-
-    STARTED = "started"
-    FENCED = "fenced"
-    OLD = "old"
-    """The attempt isn't higher than one that was stopped or has ended there."""
-    LATE = "late"
-    ROOM = "room"
-    NO_TICKET = "ticket"
-    INVALID = "invalid"
-    UNHEALTHY = "unhealthy"
-    OTHER_INSTANCE = "instance"
-    NOT_SENT = "not sent"
-    UNANSWERED = "unanswered"
-
-
-@dataclass(frozen=True, slots=True)
-class CallStart:
-    """Order the upstream to start a run; report the answer to `Executor.on_start_answer`."""
-
-    upstream: Upstream
-    task: str
-    attempt: int
-    specification: str
-    deadline_ms: int
-    fence: int
-
-
-@dataclass(frozen=True, slots=True)
-class CallStop:
-    """Order the upstream to stop a run; its end shows in the list of ends."""
-
-    upstream: Upstream
-    task: str
-    attempt: int
-    fence: int
-
-
-@dataclass(frozen=True, slots=True)
-class CallHold:
-    """Extend the lease (unless ``deadline_ms`` is None) and ask for the lists of runs."""
-
-    upstream: Upstream
-    deadline_ms: int | None
-    fence: int
-    acked: int
-    wait_ms: int
-    sent_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class SendFrame:
-    """Send a frame to the entry ``peer``."""
-
-    peer: str
-    frame: AgentFrame
-
-
 @dataclass(frozen=True, slots=True)
 class NoteRun:
     """A decision to log: ``text`` with its ``fields``."""
@@ -226,16 +110,6 @@
     stop_sent_ms: float = float("-inf")
 
 
-@dataclass(slots=True)
-class _Peer:
-    """An entry; ``channel`` is None while runs of the last session are still being stopped."""
-
-    channel: Channel[AgentBody, EntryBody] | None = None
-    reported: UpstreamReport | None = None
-    reported_ms: float = float("-inf")
-    sessions: int = 0
-
-
 @dataclass(slots=True)
 class ExecutorCounters:
     """Counts since the start, for the metrics."""
@@ -254,8 +128,9 @@
     def __init__(self, agent: str, incarnation: str, fence: int, max_hold_ms: float) -> None:
         self.effects: list[ExecutorEffect] = []
         self.counters = ExecutorCounters()
-        self._agent = agent
-        self._incarnation = incarnation
+        self.entries = EntrySessions(
+            agent, incarnation, self._describe, self.effects.append, self._on_session_end
+        )
         self._fence = fence
         self._fence_jump = FENCE_JUMP
         self._max_hold_ms = max_hold_ms
@@ -266,8 +141,6 @@
         self._acked = 0
         self._ack_due = False
         self._runs: dict[tuple[str, int], _Run] = {}
-        self._peers: dict[str, _Peer] = {}
-        self._silent: list[str] = []
         self._zones_out: frozenset[str] = frozenset()
         self._zones_revision = -1
         self._draining = False
@@ -300,7 +173,7 @@
             if upstream.draining and not known.draining:
                 self._note("the upstream is draining", upstream=upstream.upstream)
             self._upstream = upstream
-        self._report_all(now_ms)
+        self.entries.report(now_ms)
 
     def on_upstream_gone(self, reason: str, now_ms: float) -> None:
         """Take in that the upstream has left, and what ran on it has ended."""
@@ -309,7 +182,7 @@
         self._note("the upstream is gone", upstream=self._upstream.upstream, reason=reason)
         self._upstream = None
         self._drop_runs(reason, now_ms)
-        self._report_all(now_ms)
+        self.entries.report(now_ms)
 
     def _begin_life(self, upstream: Upstream, now_ms: float) -> None:
         self._note(
@@ -361,7 +234,7 @@
 
     def on_hold(self, call: CallHold, runs: Runs | None, now_ms: float) -> None:
         """Take in the answer to ``call``; None if there was none."""
-        if runs is None or self._upstream is None or not _same_life(call, self._upstream):
+        if runs is None or self._upstream is None or not is_same_life(call, self._upstream):
             return
         if runs.born_ms is not None and runs.born_ms != self._upstream.born_ms:
             self._on_rebirth(runs.born_ms, now_ms)
@@ -384,7 +257,7 @@
             self._settle(key, run, listed.get(key), call, now_ms)
         if not self._confirmed and call.fence == self._fence and not unknown:
             self._confirmed = True
-            self._report_all(now_ms)
+            self.entries.report(now_ms)
 
     def on_hold_fenced(self, call: CallHold, now_ms: float) -> None:
         """Take in that the upstream has seen a higher token than ``call`` carried."""
@@ -466,76 +339,19 @@
         if total_ms < SLOW_FACTOR * expected_ms or now_ms - run.slow_ms < SLOW_REPORT_MS:
             return
         run.slow_ms = now_ms
-        state = self._peers.get(run.peer)
-        if state is not None and state.channel is not None and state.channel.session == run.session:
-            slow = RunSlow(key[0], key[1], elapsed_ms, total_ms - elapsed_ms)
-            self._send(run.peer, slow, now_ms)
+        slow = RunSlow(key[0], key[1], elapsed_ms, total_ms - elapsed_ms)
+        self.entries.send(run.peer, run.session, slow, now_ms)
 
     # Orders.
 
     def drain(self, now_ms: float) -> None:
         """Take no more work; runs go on to their end."""
         self._draining = True
-        self._report_all(now_ms)
-
-    def connect(self, peer: str, now_ms: float) -> None:
-        """Open a session with the entry ``peer`` unless there is one."""
-        if peer not in self._peers:
-            self._peers[peer] = _Peer()
-            self._open_session(peer, now_ms)
-
-    def disconnect(self, peer: str, now_ms: float) -> None:
-        """Forget an entry that has gone for good."""
-        if peer in self._peers:
-            self._end_session(peer, "the entry has gone", now_ms)
-            del self._peers[peer]
-
-    def is_in_touch(self, peer: str, now_ms: float) -> bool:
-        """Return whether the entry ``peer`` has been heard lately."""
-        state = self._peers.get(peer)
-        channel = state.channel if state is not None else None
-        return channel is not None and now_ms - channel.heard_ms < OWNER_SILENCE_MS
-
-    def take_silent(self) -> list[str]:
-        """Return the entries whose connection should be replaced because it went silent."""
-        silent, self._silent = self._silent, []
-        return silent
-
-    def _open_session(self, peer: str, now_ms: float) -> None:
-        state = self._peers[peer]
-        state.sessions += 1
-        state.channel = Channel(f"{self._incarnation}.{state.sessions}", now_ms)
-        state.reported = self._describe(now_ms)
-        state.reported_ms = now_ms
-        self._send(peer, Hello(self._agent, state.reported), now_ms)
-
-    def _end_session(self, peer: str, reason: str, now_ms: float) -> None:
-        state = self._peers[peer]
-        if state.channel is None:
-            return
-        session, state.channel = state.channel.session, None
-        stopped = 0
-        for key, run in list(self._runs.items()):
-            if run.session == session:
-                stopped += 1
-                self._stop(key, reason, now_ms)
-        self._note("session ended", peer=peer, session=session, reason=reason, stopped=stopped)
+        self.entries.report(now_ms)
 
     def on_frame(self, peer: str, frame: EntryFrame, now_ms: float) -> None:
-        """Take in a frame from the entry ``peer``; frames of ended sessions are ignored."""
-        state = self._peers.get(peer)
-        if state is None or state.channel is None or frame.session != state.channel.session:
-            return
-        if isinstance(frame.body, Goodbye):
-            # It carries no number: an entry that doesn't know the session has none to continue.
-            self._end_session(peer, "the entry doesn't know the session", now_ms)
-            return
-        limit_ms = OWNER_SILENCE_MS if state.channel.is_answered else HANDSHAKE_MS
-        if state.channel.age_ms(frame, now_ms) >= limit_ms:
-            # This agent or the link stood still; the entry has given the session up, or soon will.
-            self._end_session(peer, "a frame was held up for too long", now_ms)
-            return
-        for body in state.channel.receive(frame, now_ms):
+        """Take in a frame from the entry ``peer``."""
+        for body in self.entries.receive(peer, frame, now_ms):
             match body:
                 case StartRun():
                     self._on_start(peer, frame.session, body, now_ms)
@@ -544,6 +360,13 @@
                 case Notice():
                     self.set_zones_out(body.revision, frozenset(body.zones_out), now_ms)
 
+    def _on_session_end(self, peer: str, session: str, reason: str, now_ms: float) -> None:
+        """Stop the runs of a session that has ended."""
+        owned = [key for key, run in self._runs.items() if run.session == session]
+        for key in owned:
+            self._stop(key, reason, now_ms)
+        self._note("session ended", peer=peer, session=session, reason=reason, stopped=len(owned))
+
     def set_zones_out(self, revision: int, zones: frozenset[str], now_ms: float) -> None:
         """Take in the zones out of service as of ``revision``; older news is ignored."""
         if revision <= self._zones_revision:
@@ -552,7 +375,7 @@
         if zones != self._zones_out:
             self._note("zones out of service", zones=sorted(zones), revision=revision)
             self._zones_out = zones
-            self._report_all(now_ms)
+            self.entries.report(now_ms)
 
     def _find_obstacle(self, order: StartRun, now_ms: float) -> str:
         upstream = self._upstream
@@ -575,7 +398,7 @@
         if obstacle:
             for key in [key for key in self._runs if key[0] == order.task]:
                 self._stop(key, "superseded", now_ms)
-            self._reject(peer, order, obstacle, now_ms)
+            self._reject(peer, session, order, obstacle, now_ms)
             return
         key = (order.task, order.attempt)
         self._runs[key] = _Run(
@@ -589,7 +412,7 @@
             now_ms,
         )
         self._call_start(self._runs[key], now_ms)
-        self._report_all(now_ms)
+        self.entries.report(now_ms)
 
     def _call_start(self, run: _Run, now_ms: float) -> None:
         assert self._upstream is not None
@@ -608,7 +431,7 @@
             )
         )
 
-    def _reject(self, peer: str, order: StartRun, reason: str, now_ms: float) -> None:
+    def _reject(self, peer: str, session: str, order: StartRun, reason: str, now_ms: float) -> None:
         self.counters.rejected += 1
         self._note(
             "start rejected", task=order.task, attempt=order.attempt, peer=peer, reason=reason
@@ -616,7 +439,7 @@
         ended = RunEnded(
             order.task, order.attempt, RunEnd.REJECTED.value, 0.0, reason, self._free()
         )
-        self._send(peer, ended, now_ms)
+        self.entries.send(peer, session, ended, now_ms)
 
     def on_start_answer(
         self, call: CallStart, result: StartResult, clock_ms: float | None, now_ms: float
@@ -645,7 +468,7 @@
             case StartResult.UNHEALTHY | StartResult.OTHER_INSTANCE | StartResult.NOT_SENT:
                 self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
-                self._report_all(now_ms)
+                self.entries.report(now_ms)
             case _:
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
 
@@ -702,12 +525,9 @@
                 reason=reason,
                 elapsed_ms=round(elapsed_ms),
             )
-        state = self._peers.get(run.peer)
-        if state is not None and state.channel is not None and state.channel.session == run.session:
-            free = self._free()
-            ended = RunEnded(key[0], key[1], how.value, elapsed_ms, reason, free)
-            self._send(run.peer, ended, now_ms)
-        self._report_all(now_ms)
+        ended = RunEnded(key[0], key[1], how.value, elapsed_ms, reason, self._free())
+        self.entries.send(run.peer, run.session, ended, now_ms)
+        self.entries.report(now_ms)
 
     # Time.
 
@@ -716,9 +536,9 @@
         self._watch_upstream(now_ms)
         for key, run in list(self._runs.items()):
             self._watch_run(key, run, now_ms)
-        for peer in list(self._peers):
-            self._watch_peer(peer, now_ms)
-        self._report_all(now_ms)
+        owners = {(run.peer, run.session) for run in self._runs.values()}
+        self.counters.silent_owners += self.entries.tick(owners, now_ms)
+        self.entries.report(now_ms)
 
     def _watch_upstream(self, now_ms: float) -> None:
         if self._upstream is None:
@@ -745,29 +565,6 @@
             self.counters.stalled += 1
             self._stop(key, RunEnd.STALLED.value, now_ms)
 
-    def _watch_peer(self, peer: str, now_ms: float) -> None:
-        state = self._peers[peer]
-        channel = state.channel
-        if channel is None:
-            if not any(run.peer == peer for run in self._runs.values()):
-                self._open_session(peer, now_ms)
-            return
-        silent_ms = now_ms - channel.heard_ms
-        owns = any(run.session == channel.session for run in self._runs.values())
-        if silent_ms >= OWNER_SILENCE_MS and owns:
-            self.counters.silent_owners += 1
-            self._silent.append(peer)
-            self._end_session(peer, f"the entry was silent for {silent_ms:.0f} ms", now_ms)
-            return
-        if silent_ms >= 2 * OWNER_SILENCE_MS:
-            self._silent.append(peer)
-            self._end_session(peer, "the entry is away", now_ms)
-            return
-        for frame in channel.resend(now_ms):
-            self.effects.append(SendFrame(peer, frame))
-        if now_ms - channel.sent_ms >= BEAT_MS:
-            self._send(peer, None, now_ms)
-
     # Reports.
 
     def _free(self) -> Room:
@@ -791,7 +588,7 @@
             list(upstream.labels),
             upstream.draining or self._draining or upstream.zone in self._zones_out,
             now_ms >= self._unhealthy_until_ms,
-            sum(state.channel is not None for state in self._peers.values()),
+            self.entries.open_count,
             self._slowness(now_ms),
         )
 
@@ -803,27 +600,6 @@
         ]
         return self._speed.slowness(foreseen, now_ms)
 
-    def _report_all(self, now_ms: float) -> None:
-        """Tell each entry of a change, at most every ``REPORT_MS``."""
-        report: UpstreamReport | None = None
-        for peer, state in self._peers.items():
-            if state.channel is None or now_ms - state.reported_ms < REPORT_MS:
-                continue
-            report = report or self._describe(now_ms)
-            if report != state.reported:
-                state.reported = report
-                state.reported_ms = now_ms
-                self._send(peer, Report(report), now_ms)
-
-    def _send(self, peer: str, body: AgentBody | None, now_ms: float) -> None:
-        channel = self._peers[peer].channel
-        if channel is None:
-            return
-        try:
-            self.effects.append(SendFrame(peer, channel.send(body, now_ms)))
-        except ChannelFullError as error:
-            self._end_session(peer, str(error), now_ms)
-
     def _note(self, text: str, **fields: object) -> None:
         self.effects.append(NoteRun(text, fields))
 
@@ -834,7 +610,3 @@
     Progress is told in whole percents; the run may be almost one further.
     """
     return 100.0 * (now_ms - run.ordered_ms) / (run.percent + 1.0)
-
-
-def _same_life(call: CallHold, upstream: Upstream) -> bool:
-    return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -15,19 +15,8 @@
 from .daemon import TICK_MS, CoreTask, flush_log, freeze_memory, serve_metrics, wait_for_stop
 from .desired import Desired, OperatorKeys
 from .directory import ENTRIES_PREFIX, Directory
-from .executor import (
-    HOLD_MARGIN_MS,
-    START_TIMEOUT_MS,
-    CallHold,
-    CallStart,
-    CallStop,
-    Executor,
-    NoteRun,
-    Runs,
-    SendFrame,
-    StartResult,
-    Upstream,
-)
+from .entrysession import SendFrame
+from .executor import HOLD_MARGIN_MS, START_TIMEOUT_MS, Executor, NoteRun
 from .ids import AgentId, new_incarnation
 from .jobentryd import JOB_TRANSPORT, STOP_RESERVE_MS
 from .log import Log
@@ -38,6 +27,7 @@
 from .store import Changes, Listing, Watchable
 from .storetask import follow
 from .transport import Codec, Dealers, agent_identity
+from .upstreamcall import CallHold, CallStart, CallStop, Runs, StartResult, Upstream
 from .web import Request, Response
 
 AGENT_CODEC = Codec(encode_frame, decode_entry_frame)
@@ -208,13 +198,13 @@
                     self._log.error("entries", "bad address", entry=name, reason=str(error))
                     continue
                 self._log.info("entries", "connecting", entry=name, address=entry.address)
-                await self._task.put(self._core.connect, name)
+                await self._task.put(self._core.entries.connect, name)
             for name in self._dealers.peers().keys() - entries.keys():
-                if not self._core.is_in_touch(name, self._clock.now_ms()):
+                if not self._core.entries.is_in_touch(name, self._clock.now_ms()):
                     self._log.info("entries", "gone", entry=name)
-                    await self._task.put(self._core.disconnect, name)
+                    await self._task.put(self._core.entries.disconnect, name)
                     await self._dealers.disconnect(name)
-            for name in self._core.take_silent():
+            for name in self._core.entries.take_silent():
                 await self._dealers.replace(name)
             self._entries_changed.clear()
             await curio.ignore_after(CONNECT_MS / 1000, self._entries_changed.wait)
--- a/snipewell/platform/registration.py
+++ b/snipewell/platform/registration.py
@@ -4,8 +4,8 @@
 
 from typing import Protocol
 
-from ..executor import Upstream
 from ..log import Log
+from ..upstreamcall import Upstream
 from ..web import Request, Response
 from .jobs import encode_error
 from .upstream import RegistrationError, decode_heartbeat, split_registration
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -7,9 +7,18 @@
 import msgspec
 
 from ..client import ExchangeError, HttpPool, NotSentError
-from ..executor import CallHold, CallStart, CallStop, EndRow, RunRow, Runs, StartResult, Upstream
 from ..ids import UpstreamId
 from ..job import Room, RunEnd
+from ..upstreamcall import (
+    CallHold,
+    CallStart,
+    CallStop,
+    EndRow,
+    RunRow,
+    Runs,
+    StartResult,
+    Upstream,
+)
 from ..web import Request, Response
 
 REGISTRATION_PREFIX = "/snipewell/instances/"
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -22,7 +22,7 @@
     SessionEvent,
 )
 from .agentview import AgentView
-from .executor import BUSY_TASK, NO_ROOM, StartResult
+from .executor import BUSY_TASK, NO_ROOM
 from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import (
     Attempt,
@@ -44,6 +44,7 @@
 from .matching import Candidate, choose, may_run
 from .order import AgentFrame, Notice, RunEnded, RunSlow, StartRun, StopRun
 from .outlier import Health, OutlierDetector
+from .upstreamcall import StartResult
 
 REMEMBERED_ANSWERS = 10_000
 """Answers kept for jobs that are sent again after their answer was lost."""
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -14,18 +14,8 @@
 
 from snipewell.agentsession import SendAgent
 from snipewell.daemon import TICK_MS
-from snipewell.executor import (
-    CallHold,
-    CallStart,
-    CallStop,
-    EndRow,
-    Executor,
-    RunRow,
-    Runs,
-    SendFrame,
-    StartResult,
-    Upstream,
-)
+from snipewell.entrysession import SendFrame
+from snipewell.executor import Executor
 from snipewell.ids import ServiceName, UpstreamId
 from snipewell.job import (
     Catalog,
@@ -41,6 +31,16 @@
     StepSpec,
 )
 from snipewell.scheduler import Answer, Scheduler
+from snipewell.upstreamcall import (
+    CallHold,
+    CallStart,
+    CallStop,
+    EndRow,
+    RunRow,
+    Runs,
+    StartResult,
+    Upstream,
+)
 
 LINK_MS = 1.0
 RESEND_MS = 1_300.0
@@ -191,7 +191,7 @@
         self.core = Executor(self.upstream.name, self.life, int(self.sim.now), MAX_HOLD_MS)
         self.holding = False
         for entry in self.sim.entries:
-            self.core.connect(entry.name, self.sim.now)
+            self.core.entries.connect(entry.name, self.sim.now)
         self.core.on_upstream(self.upstream.describe(), self.sim.now)
 
     def act(self, work: Callable[[], None]) -> None:
--- a/tests/test_agentsession.py
+++ b/tests/test_agentsession.py
@@ -11,7 +11,7 @@
     SendAgent,
 )
 from snipewell.channel import Channel
-from snipewell.executor import OWNER_SILENCE_MS
+from snipewell.entrysession import OWNER_SILENCE_MS
 from snipewell.job import Room
 from snipewell.order import (
     AgentBody,
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -7,24 +7,8 @@
 import pytest
 
 from snipewell.channel import Channel
-from snipewell.executor import (
-    BUSY_TASK,
-    IDLE_LOOK_MS,
-    NO_ROOM,
-    OWNER_SILENCE_MS,
-    STALL_MS,
-    STOP_RETRY_MS,
-    CallHold,
-    CallStart,
-    CallStop,
-    EndRow,
-    Executor,
-    RunRow,
-    Runs,
-    SendFrame,
-    StartResult,
-    Upstream,
-)
+from snipewell.entrysession import OWNER_SILENCE_MS, SendFrame
+from snipewell.executor import BUSY_TASK, IDLE_LOOK_MS, NO_ROOM, STALL_MS, STOP_RETRY_MS, Executor
 from snipewell.ids import UpstreamId
 from snipewell.job import Room, RunEnd
 from snipewell.order import (
@@ -39,6 +23,16 @@
     StartRun,
     StopRun,
 )
+from snipewell.upstreamcall import (
+    CallHold,
+    CallStart,
+    CallStop,
+    EndRow,
+    RunRow,
+    Runs,
+    StartResult,
+    Upstream,
+)
 
 UPSTREAM = Upstream(
     UpstreamId("u1"), 1_000, "svc", "z1", "127.0.0.1:1", Room(10_000, 1_000), ("a",)
@@ -71,7 +65,7 @@
         self.core.on_upstream(UPSTREAM, self.now)
         self.take()
         self.look()
-        self.core.connect("entry-1", self.now)
+        self.core.entries.connect("entry-1", self.now)
         self.take()
 
     def look(self, running: tuple[RunRow, ...] = ()) -> None:
@@ -267,7 +261,7 @@
     late.take()
     late.look((RunRow("old/0/0", 1, 50.0),))
     assert isinstance(late.calls[-1], CallStop)
-    late.core.connect("entry-1", late.now)
+    late.core.entries.connect("entry-1", late.now)
     late.take()
     hello = late.bodies[-1]
     assert isinstance(hello, Hello)
