Split placement from the scheduler

Cause: the scheduler had grown to 738 lines with two jobs in it.

Change: placer has the choice of upstreams, rates and refusals, jobstate a job and its tasks; moved without a change of behaviour.

--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -9,9 +9,8 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-from statistics import median_low
 
 from .agentsession import (
     AgentLost,
@@ -23,7 +22,6 @@
 )
 from .agentview import AgentView
 from .executor import BUSY_TASK, NO_ROOM
-from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import (
     Attempt,
     Catalog,
@@ -36,14 +34,13 @@
     JobUnknown,
     Queue,
     QueueName,
-    Room,
     RunEnd,
-    StepSpec,
 )
-from .jobqueue import RATE_WINDOW_MS, Demand, StartRate, Timing, Waiting, plan, retry_after_ms
-from .matching import Candidate, choose, may_run
+from .jobqueue import Demand, Timing
+from .jobstate import Job, Task
+from .matching import Candidate, may_run
 from .order import AgentFrame, Notice, RunEnded, RunSlow, StartRun, StopRun
-from .outlier import Health, OutlierDetector
+from .placer import Placer
 from .upstreamcall import StartResult
 
 REMEMBERED_ANSWERS = 10_000
@@ -58,22 +55,6 @@
 """Pause before new starts after the process stood still, in which closed connections show."""
 STANDSTILL_MS = 700.0
 """A gap between two ticks that counts as a standstill: many times the usual gap."""
-RESERVE_SHARE = 0.3
-"""Share of an upstream's processors that work which is late leaves free, so that it doesn't take
-the room of timely work that other entries have: as much as three tasks of ordinary size."""
-SATURATED_MS = 300.0
-"""Time for which tasks must have waited before the plan refuses jobs: a shorter wait is a chance
-meeting of jobs, and the rate of starts isn't known yet."""
-GROWTH = 1.25
-SETTLE_MS = 800.0
-"""Nothing is refused for want of room while the known capacity grew by this factor so lately: the
-upstreams of a fleet that starts register over one heartbeat interval of 1,500 ms."""
-MOVE_SLOWNESS = 2.0
-"""Runs are moved only from an upstream that is this many times as slow as the median one: upstreams
-differ by up to that factor by their kind."""
-MOVE_GAIN = 1.3
-MAX_MOVES = 3
-"""A slow run is moved if it will take this many times as long as elsewhere, at most so often."""
 MAX_LOST_RUNS = 20
 """Runs of one task that may be lost or stopped before the job is given up."""
 
@@ -97,40 +78,6 @@
 SchedulerEffect = SendAgent | Answer | Note
 
 
-@dataclass(slots=True)
-class _Task:
-    """A task of a job. ``attempt`` numbers its latest start, 0 if there was none."""
-
-    job: _Job
-    step: int
-    name: str
-    attempt: int = 0
-    view: AgentView | None = None
-    done: bool = False
-    failed: int = 0
-    lost: int = 0
-    moves: int = 0
-    avoid: set[UpstreamId] = field(default_factory=set)
-    waiting_since_ms: float = 0.0
-    not_before_ms: float = float("-inf")
-
-
-@dataclass(slots=True, eq=False)
-class _Job:
-    spec: JobSpec
-    queue: Queue
-    timing: Timing
-    requests: list[int]
-    tasks: list[list[_Task]]
-    ended: bool = False
-    started: bool = False
-    work: float = 0.0
-    value: float = 1.0
-
-    def step_done(self, step: int) -> bool:
-        return all(task.done for task in self.tasks[step])
-
-
 @dataclass(slots=True)
 class SchedulerCounters:
     """Counts since the start, for the metrics."""
@@ -156,26 +103,27 @@
         self.effects: list[SchedulerEffect] = []
         self.counters = SchedulerCounters()
         self.sessions = AgentSessions(self.effects.append)
-        self._rng = rng
         self._catalog: Catalog | None = None
-        self._zones_out: frozenset[str] = frozenset()
-        self._jobs: dict[JobId, _Job] = {}
-        self._by_request: dict[int, _Job] = {}
-        self._waiting: dict[str, _Task] = {}
-        self._runs: dict[tuple[str, int], _Task] = {}
+        self._jobs: dict[JobId, Job] = {}
+        self._by_request: dict[int, Job] = {}
+        self._waiting: dict[str, Task] = {}
+        self._runs: dict[tuple[str, int], Task] = {}
         self._stopping: dict[str, set[int]] = {}
         """Attempts of ended jobs that still run, by task."""
         self._attempts: OrderedDict[str, int] = OrderedDict()
         self._answers: OrderedDict[JobId, tuple[float, JobEnded]] = OrderedDict()
-        self._outliers = OutlierDetector(rng)
-        self._rate = StartRate()
+        self._placer = Placer(
+            self.sessions,
+            self._runs,
+            self._stopping,
+            rng,
+            self._start_run,
+            self._end_job,
+            self._note,
+        )
         self._demand = Demand()
-        self._capacity = 0
-        self._saturated_since_ms = float("inf")
-        self._refuse_after_ms = float("-inf")
         self._last_tick_ms: float | None = None
         self._paused_until_ms = float("-inf")
-        self._wait_ms = 0.0
 
     @property
     def catalog(self) -> Catalog | None:
@@ -202,9 +150,9 @@
 
     def set_zones_out(self, revision: int, zones: frozenset[str], now_ms: float) -> None:
         """Put the zones out of service as of ``revision`` into force."""
-        if zones != self._zones_out:
+        if zones != self._placer.zones_out:
             self._note("zones out of service", zones=sorted(zones), revision=revision)
-        self._zones_out = zones
+        self._placer.zones_out = zones
         self.sessions.set_zones_out(Notice(revision, sorted(zones)), now_ms)
 
     def count_pending(self, queue: QueueName) -> int:
@@ -269,10 +217,10 @@
         chain_ms = spec.chain_ms()
         objective_ms = queue.stretch * chain_ms + queue.latency_ms
         timing = Timing(now_ms, chain_ms, objective_ms, now_ms + client_wait_ms)
-        job = _Job(spec, queue, timing, [request], [])
+        job = Job(spec, queue, timing, [request], [])
         for number, step in enumerate(spec.steps):
             tasks = [
-                _Task(job, number, f"{spec.job}/{number}/{index}") for index in range(step.count)
+                Task(job, number, f"{spec.job}/{number}/{index}") for index in range(step.count)
             ]
             for task in tasks:
                 task.attempt = self._attempts.get(task.name, 0)
@@ -294,7 +242,7 @@
         )
         self._release_steps(job, now_ms)
 
-    def _release_steps(self, job: _Job, now_ms: float) -> None:
+    def _release_steps(self, job: Job, now_ms: float) -> None:
         """Let the tasks wait for room whose steps may start."""
         for number, step in enumerate(job.spec.steps):
             if all(job.step_done(earlier) for earlier in step.after):
@@ -304,7 +252,7 @@
         if all(job.step_done(number) for number in range(len(job.tasks))):
             self._end_job(job, JobEnded(JobState.COMPLETED), now_ms)
 
-    def _wait(self, task: _Task, now_ms: float) -> None:
+    def _wait(self, task: Task, now_ms: float) -> None:
         if not task.done and task.view is None and task.name not in self._waiting:
             task.waiting_since_ms = now_ms
             self._waiting[task.name] = task
@@ -320,7 +268,7 @@
             self._note("job cancelled", job=job.spec.job, reason="the client is gone")
             self._close_job(job, now_ms)
 
-    def _end_job(self, job: _Job, outcome: JobOutcome, now_ms: float) -> None:
+    def _end_job(self, job: Job, outcome: JobOutcome, now_ms: float) -> None:
         elapsed_ms = now_ms - job.timing.arrived_ms
         match outcome:
             case JobEnded(state=JobState.COMPLETED):
@@ -348,7 +296,7 @@
                 self._answers.popitem(last=False)
         self._close_job(job, now_ms)
 
-    def _close_job(self, job: _Job, now_ms: float) -> None:
+    def _close_job(self, job: Job, now_ms: float) -> None:
         """Forget the job and stop what still runs of it."""
         job.ended = True
         del self._jobs[job.spec.job]
@@ -360,7 +308,7 @@
                 self._stopping.setdefault(task.name, set()).add(task.attempt)
                 self.sessions.send(task.view, StopRun(task.name, task.attempt), now_ms)
 
-    def _remember_attempt(self, task: _Task) -> None:
+    def _remember_attempt(self, task: Task) -> None:
         """Keep the number of the latest start, which the next one must exceed."""
         self._attempts[task.name] = task.attempt
         if len(self._attempts) > REMEMBERED_ANSWERS:
@@ -383,31 +331,9 @@
                 self._on_run_slow(event.view, event.slow, now_ms)
 
     def _on_run_slow(self, view: AgentView, slow: RunSlow, now_ms: float) -> None:
-        """Move a slow run if it would end earlier elsewhere.
-
-        The run's own progress tells its size; the slowness of the two upstreams tells the rest.
-        """
+        """Stop a slow run if it would end earlier elsewhere; its end lets it start there."""
         task = self._runs.get((slow.task, slow.attempt))
-        if task is None or task.job.ended or task.moves >= MAX_MOVES:
-            return
-        usable = self._find_usable(task.job.queue.service, now_ms)
-        ordinary = _median([other.report.slowness for other in usable])
-        if view.report.slowness < MOVE_SLOWNESS * ordinary:
-            return
-        step = task.job.spec.steps[task.step]
-        size_ms = (slow.elapsed_ms + slow.left_ms) / view.report.slowness
-        elsewhere_ms = min(
-            (
-                size_ms * other.report.slowness
-                for other in usable
-                if other is not view
-                and other.upstream not in task.avoid
-                and self._outliers.health(other.upstream) is Health.ACTIVE
-                and may_run(other, step, other.room())
-            ),
-            default=float("inf"),
-        )
-        if slow.left_ms < MOVE_GAIN * elsewhere_ms:
+        if task is None or task.job.ended or not self._placer.should_move(task, view, slow, now_ms):
             return
         task.moves += 1
         task.avoid.add(view.upstream)
@@ -418,7 +344,7 @@
             attempt=slow.attempt,
             upstream=view.upstream,
             left_ms=round(slow.left_ms),
-            elsewhere_ms=round(elsewhere_ms),
+            slowness=view.report.slowness,
         )
         self.sessions.send(view, StopRun(slow.task, slow.attempt), now_ms)
 
@@ -442,7 +368,7 @@
                 del self._stopping[ended.task]
         how = RunEnd(ended.how)
         task.view = None
-        self._learn(task, view, how, ended, now_ms)
+        self._placer.add_end(task, view, how, now_ms)
         if task.job.ended:
             return
         if how is not RunEnd.DONE:
@@ -459,7 +385,7 @@
         self._continue(task, view, how, ended, now_ms)
 
     def _continue(
-        self, task: _Task, view: AgentView, how: RunEnd, ended: RunEnded, now_ms: float
+        self, task: Task, view: AgentView, how: RunEnd, ended: RunEnded, now_ms: float
     ) -> None:
         """Take the task on after the end of a run."""
         match how:
@@ -493,190 +419,15 @@
                     return
         self._wait(task, now_ms)
 
-    def _learn(
-        self, task: _Task, view: AgentView, how: RunEnd, ended: RunEnded, now_ms: float
-    ) -> None:
-        upstream = view.upstream
-        if not upstream or how not in (RunEnd.DONE, RunEnd.FAILED, RunEnd.STALLED):
-            return
-        self._outliers.add(upstream)
-        self._outliers.on_end(
-            upstream,
-            ServiceName(task.job.queue.name),
-            ScopedKey(task.job.spec.job),
-            how is RunEnd.DONE,
-            now_ms,
-        )
-
     # Placement.
 
     def place(self, now_ms: float) -> None:
         """Start waiting tasks where there is room, and refuse what can no longer be served."""
-        if not self._waiting:
-            self._saturated_since_ms = float("inf")
-            return
-        if now_ms < self._paused_until_ms:
-            return
-        self._saturated_since_ms = min(self._saturated_since_ms, now_ms)
-        by_service: dict[str, dict[str, list[_Task]]] = {}
-        for task in self._waiting.values():
-            if task.name not in self._stopping and now_ms >= task.not_before_ms:
-                jobs = by_service.setdefault(task.job.queue.service, {})
-                jobs.setdefault(task.job.spec.job, []).append(task)
-        for service, jobs in by_service.items():
-            self._place_service(service, jobs, now_ms)
-        if not self._waiting:
-            self._saturated_since_ms = float("inf")
-
-    def _place_service(self, service: str, jobs: dict[str, list[_Task]], now_ms: float) -> None:
-        views = self._find_usable(service, now_ms)
-        rate = self._expect_rate(views, now_ms)
-        slowness = _median([view.report.slowness for view in views])
-        waiting = [self._describe(tasks, slowness) for tasks in jobs.values()]
-        planned = plan(waiting, rate, now_ms)
-        full: set[tuple[Room, str]] = set()
-        started = [name for name in planned.late if jobs[name][0].job.started]
-        # What is left of a job that has started is small, and what was done for it would be lost.
-        for name in started:
-            self._start_tasks(jobs[name], views, full, now_ms)
-        for name in planned.timely:
-            due_ms = jobs[name][0].job.timing.due_ms
-            self._start_tasks(jobs[name], views, full, now_ms, due_ms)
-        spare = [view for view in views if self._has_reserve(view)]
-        full.clear()
-        for name in [*planned.late, *planned.hopeless]:
-            self._start_tasks([t for t in jobs[name] if t.view is None], spare, full, now_ms)
-        lasting = views and now_ms - self._saturated_since_ms >= SATURATED_MS
-        if now_ms < self._refuse_after_ms:
-            return
-        for name in planned.hopeless:
-            job = jobs[name][0].job
-            if not job.started and (
-                lasting or now_ms + job.timing.chain_ms > job.timing.useless_ms
-            ):
-                wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
-                retry_ms = retry_after_ms(wait_ms, self._rng.random())
-                self._note(
-                    "no room for a job",
-                    job=name,
-                    backlog_ms=round(wait_ms),
-                    rate=round(rate, 1),
-                    waiting_jobs=len(waiting),
-                    upstreams=len(views),
-                    retry_after_ms=round(retry_ms),
-                )
-                self._end_job(job, JobRefused("no room in time", retry_ms, True), now_ms)
-
-    def _expect_rate(self, views: list[AgentView], now_ms: float) -> float:
-        """Return the work that this entry can start, in core-milliseconds a millisecond.
-
-        While tasks have waited for a whole window, it is what was started in that window. Before,
-        it is an equal share of what the upstreams can do, or more if more was started.
-        """
-        measured = self._rate.rate(now_ms)
-        if now_ms - self._saturated_since_ms >= RATE_WINDOW_MS:
-            return measured
-        share = sum(
-            view.report.capacity.cpu_milli
-            / 1000
-            / view.report.slowness
-            / max(1, view.report.entries)
-            for view in views
-        )
-        return max(share, measured)
-
-    def _has_reserve(self, view: AgentView) -> bool:
-        return view.room().cpu_milli >= RESERVE_SHARE * view.report.capacity.cpu_milli
+        if now_ms >= self._paused_until_ms:
+            self._placer.place(self._waiting, now_ms)
 
-    def _describe(self, tasks: list[_Task], slowness: float) -> Waiting:
-        """Return what the plan needs to know of the waiting ``tasks`` of one job.
-
-        ``slowness`` is that of an upstream that the job may expect.
-        """
-        job = tasks[0].job
-        steps = [job.spec.steps[task.step] for task in tasks]
-        left_ms = max(step.estimate_ms for step in steps) * slowness
-        if len(job.spec.steps) > 1:
-            left_ms = job.timing.chain_ms
-        work = sum(step.estimate_ms * step.resources.cpu_milli / 1000 for step in steps)
-        return Waiting(job.spec.job, job.timing, left_ms, work, job.value, job.started)
-
-    def _start_tasks(
-        self,
-        tasks: list[_Task],
-        views: list[AgentView],
-        full: set[tuple[Room, str]],
-        now_ms: float,
-        end_by_ms: float = float("inf"),
-    ) -> None:
-        """Start ``tasks`` of one job on ``views``; ``full`` holds the shapes without room.
-
-        Upstreams where a task would end after ``end_by_ms`` are left to others.
-        """
-        for task in tasks:
-            step = task.job.spec.steps[task.step]
-            shape = (step.resources, step.label)
-            if shape in full:
-                continue
-            able = views
-            if end_by_ms < float("inf"):
-                able = [view for view in views if now_ms + self._expect_ms(task, view) <= end_by_ms]
-            if not self._start(task, step, able, now_ms) and not task.avoid and able is views:
-                full.add(shape)
-
-    def _watch_growth(self, now_ms: float) -> None:
-        """Put refusals off while upstreams are still being found, as after a start."""
-        views = self.sessions.views()
-        capacity = sum(view.report.capacity.cpu_milli for view in views if view.upstream)
-        if capacity > GROWTH * self._capacity:
-            self._refuse_after_ms = now_ms + SETTLE_MS
-        self._capacity = capacity
-
-    def _find_usable(self, service: str, now_ms: float) -> list[AgentView]:
-        return [
-            view
-            for view in self.sessions.views()
-            if view.is_usable(service, self._zones_out, now_ms)
-        ]
-
-    def _start(self, task: _Task, step: StepSpec, views: list[AgentView], now_ms: float) -> bool:
-        """Start the task on one of ``views``; return False if none has room for it."""
-        fitting = [view for view in views if may_run(view, step, view.room())]
-        allowed = [view for view in fitting if view.upstream not in task.avoid]
-        healthy = [
-            view for view in allowed if self._outliers.health(view.upstream) is Health.ACTIVE
-        ]
-        probing = [view for view in allowed if self._may_probe(view, now_ms)]
-        if probing:
-            candidates = probing[:1]
-        elif healthy:
-            candidates = healthy
-        elif any(view.upstream not in task.avoid for view in views):
-            return False
-        else:
-            # Every upstream has failed this task; the least bad is any.
-            candidates = fitting
-        choice = choose(
-            [Candidate(view, self._expect_ms(task, view)) for view in candidates],
-            self._rng,
-        )
-        if choice is None:
-            return False
-        if probing:
-            self._outliers.on_probe(choice.view.upstream, now_ms)
-        self._order_start(task, step, choice, now_ms)
-        return True
-
-    def _may_probe(self, view: AgentView, now_ms: float) -> bool:
-        if self._outliers.health(view.upstream) is not Health.PROBING:
-            return False
-        running = sum(1 for task in self._runs.values() if task.view is view)
-        return self._outliers.may_probe(view.upstream, running, now_ms)
-
-    def _expect_ms(self, task: _Task, view: AgentView) -> float:
-        return task.job.spec.steps[task.step].estimate_ms * view.report.slowness
-
-    def _order_start(self, task: _Task, step: StepSpec, choice: Candidate, now_ms: float) -> None:
+    def _start_run(self, task: Task, choice: Candidate, now_ms: float) -> None:
+        step = task.job.spec.steps[task.step]
         del self._waiting[task.name]
         view = choice.view
         task.attempt = Attempt(task.attempt + 1)
@@ -685,8 +436,7 @@
         self._runs[task.name, task.attempt] = task
         self.counters.starts += 1
         waited_ms = now_ms - task.waiting_since_ms
-        self._wait_ms += (waited_ms - self._wait_ms) / 16
-        self._rate.add(step.estimate_ms * step.resources.cpu_milli / 1000, now_ms)
+        self._placer.add_start(step, now_ms)
         order = StartRun(
             task.name,
             task.attempt,
@@ -719,8 +469,7 @@
         for job in [j for j in self._jobs.values() if now_ms >= j.timing.client_until_ms]:
             if job.started:
                 self._end_job(job, JobUnknown("the client's time is over"), now_ms)
-        self._outliers.tick({}, now_ms)
-        self._watch_growth(now_ms)
+        self._placer.tick(now_ms)
 
     def pause_starts(self, gap_ms: float, now_ms: float) -> None:
         """Start nothing for a moment, because the process stood still for ``gap_ms``.
@@ -732,8 +481,3 @@
 
     def _note(self, text: str, **fields: object) -> None:
         self.effects.append(Note(text, fields))
-
-
-def _median(values: list[float]) -> float:
-    """Return the lower median of ``values``, 1.0 without any."""
-    return median_low(values) if values else 1.0
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -37,10 +37,9 @@
     StopRun,
     UpstreamReport,
 )
+from snipewell.placer import SATURATED_MS, SETTLE_MS
 from snipewell.scheduler import (
     MAX_LOST_RUNS,
-    SATURATED_MS,
-    SETTLE_MS,
     STANDSTILL_MS,
     THAW_PAUSE_MS,
     Answer,
