--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import argparse
 from collections.abc import Callable
 from random import Random
 
@@ -171,3 +172,23 @@
 def test_faults_over_one_another(seed: int) -> None:
     rng = Random(seed)
     check(play(seed + 1_000, rng.sample(list(FAULTS), 3)))
+
+
+def main() -> None:
+    """Play ``--runs`` mixes of faults from ``--seed`` on, and print the seeds that break a rule."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--runs", type=int, default=200)
+    parser.add_argument("--seed", type=int, default=10_000)
+    options = parser.parse_args()
+    broken = 0
+    for seed in range(options.seed, options.seed + options.runs):
+        names = Random(seed).sample(list(FAULTS), 1 + seed % 4)
+        sim = play(seed, names)
+        if sim.overlaps() or sim.unanswered():
+            broken += 1
+            print(f"seed {seed}, {names}: {sim.overlaps()[:1]}, unanswered {len(sim.unanswered())}")
+    print(f"{options.runs} runs from seed {options.seed}, {broken} with a rule broken")
+
+
+if __name__ == "__main__":
+    main()
