Drop settings that nothing uses, and say when an upstream's orders aren't served

Cause: the last reading found fields of the boot settings without a reader, and an upstream that fetches its orders by heartbeats would have been called in vain without a word.

Change: the fields are gone; the agent logs an error for such an upstream at its start.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -165,7 +165,6 @@
         return [self._drop(other, "the agent was restarted") for other in older]
 
     def _drop(self, view: AgentView, reason: str) -> AgentLost:
-        view.given_up = True
         if self._views.get(view.peer) is view:
             del self._views[view.peer]
         return AgentLost(view, reason)
--- a/snipewell/agentview.py
+++ b/snipewell/agentview.py
@@ -26,7 +26,6 @@
     unreflected: dict[int, Room] = field(default_factory=dict)
     suspect: bool = False
     """The agent is silent; it gets no frames until it speaks again or its runs are given up."""
-    given_up: bool = False
     refused_until_ms: float = float("-inf")
     """No starts are sent before, because the agent rejected one for another reason than room."""
 
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -69,6 +69,8 @@
     clock = SystemClock()
     buffer = LogBuffer(sys.stdout.fileno())
     log = Log("info", buffer.add, node=boot.name)
+    if not boot.orders_by_call:
+        log.error("agent", "the upstream is not served", reason="it fetches orders by heartbeats")
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
     orders = UpstreamClient()
     agent = JobAgent(settings, store, EVACUATION_KEYS, orders, clock, SystemRandom(), log, buffer)
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -27,14 +27,10 @@
     """Where the upstream on this VM takes orders (``app``)."""
     store_address: str
     first_port: int
-    last_port: int
-    heartbeat_ms: float
-    """Pause between two heartbeats of an upstream."""
     max_hold_ms: float
     """Longest lease that an upstream grants (``bounds.maxHoldMs``)."""
     grace_ms: float
     """Time between SIGTERM and SIGKILL."""
-    memory_mb: float
     orders_by_call: bool
     """True if the upstream is called with orders, false if it fetches them by its heartbeats."""
 
@@ -78,11 +74,8 @@
         upstream_address=text_of("app", ""),
         store_address=text_of("platform.address"),
         first_port=int(ports[0]),
-        last_port=int(ports[1]),
-        heartbeat_ms=number_of("heartbeatIntervalMs", 1_500),
         max_hold_ms=number_of("bounds.maxHoldMs", 1_000),
         grace_ms=1_000 * number_of("bounds.gracePeriodS", 6),
-        memory_mb=number_of("limits.memoryMb", 64),
         orders_by_call=text_of("orders", "call") == "call",
     )
 
