Answer requests that reach a stopping server on idle connections

Cause: a stopping server closed every idle connection at once. A request that a relay already held for such a connection was lost without an answer. Change: for 500 ms after the begin of a stop (drain_idle_ms) idle connections are still served, and each closes after its next answer. A test in test_server.py fails before and passes after. Conclusion: what remains is a request that meets the very end of the 500 ms on a connection that was not used in them.

--- a/snipewell/server.py
+++ b/snipewell/server.py
@@ -27,6 +27,7 @@
 
 _READ_BYTES = 16_384
 _PIPELINED_BYTES = 65_536
+_DRAIN_POLL_S = 0.01
 _LINGER_MS = 300
 _LINGER_BYTES = 1_048_576
 
@@ -37,7 +38,9 @@
 
     ``head_timeout_ms`` counts from the first byte of a request, ``body_timeout_ms`` from the end
     of its head, ``idle_timeout_ms`` between two requests of a connection. With ``silence_ms``, a
-    peer that leaves keep-alive probes unanswered for that long counts as gone.
+    peer that leaves keep-alive probes unanswered for that long counts as gone. A server that stops
+    still answers on idle connections for ``drain_idle_ms``, and closes each after its next answer:
+    a request may be on its way to a connection that looks idle here.
     """
 
     connections: int = 2_000
@@ -48,6 +51,7 @@
     idle_timeout_ms: float = 60_000
     write_timeout_ms: float = 10_000
     silence_ms: float = 0
+    drain_idle_ms: float = 500
 
 
 class CallerGoneError(curio.TaskCancelled):
@@ -137,7 +141,7 @@
         self._connections.discard(connection)
 
     async def stop(self, grace_ms: float) -> int:
-        """Close the listener and idle connections, let requests in flight finish.
+        """Close the listener, let requests in flight finish, then close idle connections.
 
         Returns the number of requests that were cut off because ``grace_ms`` was over.
         """
@@ -148,10 +152,11 @@
             self._accepting = None
         try:
             async with curio.timeout_after(grace_ms / 1000):
+                await self._wait_until_unused()
                 while self._connections:
                     for connection in list(self._connections):
                         await connection.close_if_idle()
-                    await curio.sleep(0.01)
+                    await curio.sleep(_DRAIN_POLL_S)
         except curio.TaskTimeout:
             pass
         cut = self.request_count
@@ -160,6 +165,13 @@
         return cut
 
 
+    async def _wait_until_unused(self) -> None:
+        """Wait until every connection is closed or has carried no request for the drain time."""
+        async with curio.ignore_after(self.limits.drain_idle_ms / 1000):
+            while self._connections:
+                await curio.sleep(_DRAIN_POLL_S)
+
+
 class _Connection:
     """One connection: reads requests in order and writes their responses."""
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -220,6 +220,24 @@
     serve(check)
 
 
+def test_stop_answers_a_request_that_was_on_its_way() -> None:
+    """Guards against a kept-alive connection that a stop closes while a relay holds a request."""
+
+    async def check(server: HttpServer, recorder: Recorder) -> None:
+        sock = await curio.open_connection("127.0.0.1", server.address[1])
+        await sock.sendall(GET)
+        assert (await sock.recv(1_000)).endswith(b"/a")
+        stopping = await curio.spawn(server.stop, 5_000)
+        await curio.sleep(0.05)
+        await sock.sendall(GET)
+        answer = await sock.recv(1_000)
+        assert b"connection: close" in answer.lower()
+        assert answer.endswith(b"/a")
+        assert await stopping.join() == 0
+
+    serve(check)
+
+
 def test_stop_takes_a_request_that_arrived_at_the_same_moment() -> None:
     """Guards against an idle connection that is closed although its request is already here."""
 
