--- a/snipewell/server.py
+++ b/snipewell/server.py
@@ -164,7 +164,6 @@
             await connection.task.cancel()
         return cut
 
-
     async def _wait_until_unused(self) -> None:
         """Wait until every connection is closed or has carried no request for the drain time."""
         async with curio.ignore_after(self.limits.drain_idle_ms / 1000):
