Offer room to one entry at a time, and let a start look at few upstreams

Cause: on the grown sites each agent told ten entries of every change of its room: 3,000 to 4,000 reports a second at each entry, and every one led to a round of placement over 60 upstreams. Entries with the same view chose the one upstream that looked fastest, so that starts were rejected at a third of the capacity. Change: an agent offers free room to one entry at a time, in proportion to what entries say they want (offers, RoomWanted); room alone is reported every 200 ms, every 60 ms while it is scarce. A start draws six upstreams among the fast quarter and its like, and looks at all only if none has room (matching.Pool). Rounds pause for a part of a millisecond for each task beyond 20 that waits.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -23,11 +23,18 @@
     Hello,
     Notice,
     Report,
+    RoomWanted,
     RunEnded,
     RunSlow,
     StartRun,
 )
 
+WANTED_HOLD_MS = 300.0
+"""Time without waiting tasks after which agents are told that no room is wanted."""
+WANTED_PAUSE_MS = 50.0
+WANTED_FACTOR = 2.0
+"""Agents are told again how much room is wanted when it has changed by this factor, at most so
+often."""
 AGENT_SILENCE_MS = 600.0
 """Silence after which an agent gets no more work: three beats."""
 STOP_MARGIN_MS = 2 * STOP_RETRY_MS
@@ -77,6 +84,9 @@
         self._views: dict[str, AgentView] = {}
         self._by_upstream: dict[str, AgentView] = {}
         self._notice = Notice(-1, [])
+        self._wanted = 0
+        self._wanted_ms = float("-inf")
+        self._told_ms = float("-inf")
 
     def views(self) -> list[AgentView]:
         """Return the sessions that haven't been given up."""
@@ -90,6 +100,21 @@
         for view in self._views.values():
             self.send(view, notice, now_ms)
 
+    def set_wanted(self, cpu_milli: int, now_ms: float) -> None:
+        """Tell all agents for how many thousandths of a core tasks wait, if it has changed much."""
+        if cpu_milli > 0:
+            self._wanted_ms = now_ms
+        elif not self._wanted or now_ms - self._wanted_ms < WANTED_HOLD_MS:
+            return
+        changed = (
+            cpu_milli >= WANTED_FACTOR * self._wanted or self._wanted >= WANTED_FACTOR * cpu_milli
+        )
+        if changed and now_ms - self._told_ms >= WANTED_PAUSE_MS:
+            self._wanted = cpu_milli
+            self._told_ms = now_ms
+            for view in self._views.values():
+                self.send(view, RoomWanted(cpu_milli), now_ms)
+
     def send(self, view: AgentView, body: EntryBody, now_ms: float) -> None:
         """Send ``body`` in the session of ``view``; a suspect agent gets it when it is back."""
         try:
@@ -134,6 +159,8 @@
             self.send(view, self._notice, now_ms)
         else:
             self._send(SendAgent(peer, channel.send(None, now_ms)))
+        if self._wanted:
+            self.send(view, RoomWanted(self._wanted), now_ms)
         return view
 
     def _take(self, view: AgentView, body: object, acked: int, now_ms: float) -> list[SessionEvent]:
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from .channel import Channel, ChannelFullError
+from .job import Room
+from .offers import Offers
 from .order import (
     AgentBody,
     AgentFrame,
@@ -19,6 +23,7 @@
     Goodbye,
     Hello,
     Report,
+    RoomWanted,
     UpstreamReport,
 )
 
@@ -31,7 +36,14 @@
 """Longest wait for the first frame of an entry, which bounds the error in the age of later ones; a
 session that takes longer to open is replaced at once, which costs one round trip."""
 REPORT_MS = 10.0
-"""Shortest pause between two reports of room to an entry, which bounds their number."""
+"""Shortest pause between two reports to an entry, which bounds their number."""
+ROOM_REPORT_MS = 200.0
+SCARCE_REPORT_MS = 60.0
+"""Shortest pause between two reports that differ in room or speed alone, in general and while less
+than ``SCARCE_SHARE`` of the processors is free: the durations of a task and of a few round trips.
+An entry that wants room is told at once of what it is offered."""
+SCARCE_SHARE = 0.3
+"""As much as three tasks of ordinary size, which other entries may start between two reports."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +84,7 @@
         self._describe = describe
         self._send_frame = send
         self._on_end = on_end
+        self._offers = Offers()
         self._peers: dict[str, _Peer] = {}
         self._silent: list[str] = []
 
@@ -115,6 +128,7 @@
         state = self._peers[peer]
         if state.channel is not None:
             session, state.channel = state.channel.session, None
+            self._offers.forget(peer)
             self._on_end(peer, session, reason, now_ms)
 
     def receive(self, peer: str, frame: EntryFrame, now_ms: float) -> list[EntryBody]:
@@ -134,7 +148,12 @@
             # This agent or the link stood still; the entry has given the session up, or soon will.
             self._end(peer, "a frame was held up for too long", now_ms)
             return []
-        return state.channel.receive(frame, now_ms)
+        bodies = state.channel.receive(frame, now_ms)
+        for body in bodies:
+            if isinstance(body, RoomWanted):
+                self._offers.set_wanted(peer, body.cpu_milli)
+                self.offer(now_ms)
+        return bodies
 
     def send(self, peer: str, session: str, body: AgentBody, now_ms: float) -> None:
         """Send ``body`` if ``session`` is still that with the entry ``peer``."""
@@ -152,16 +171,43 @@
             self._end(peer, str(error), now_ms)
 
     def report(self, now_ms: float) -> None:
-        """Tell each entry of a change of the upstream, at most every ``REPORT_MS``."""
+        """Tell each entry of a change of the upstream, of mere room and speed less often."""
         report: UpstreamReport | None = None
         for peer, state in self._peers.items():
-            if state.channel is None or now_ms - state.reported_ms < REPORT_MS:
+            pause_ms = now_ms - state.reported_ms
+            if state.channel is None or pause_ms < REPORT_MS:
                 continue
             report = report or self._describe(now_ms)
-            if report != state.reported:
-                state.reported = report
-                state.reported_ms = now_ms
-                self._send(peer, Report(report), now_ms)
+            known = state.reported
+            scarce = report.free.cpu_milli < SCARCE_SHARE * report.capacity.cpu_milli
+            room_ms = SCARCE_REPORT_MS if scarce else ROOM_REPORT_MS
+            if pause_ms >= room_ms or known is None or not report.is_like(known):
+                self._report_to(peer, report, now_ms)
+
+    def _report_to(self, peer: str, report: UpstreamReport, now_ms: float) -> None:
+        state = self._peers[peer]
+        report = replace(report, free=self._offers.free_for(peer, report.free, now_ms))
+        if report != state.reported:
+            state.reported = report
+            state.reported_ms = now_ms
+            self._send(peer, Report(report), now_ms)
+
+    def take_offer(self, peer: str, room: Room) -> None:
+        """Take in that the entry ``peer`` has started a task that occupies ``room``."""
+        self._offers.take(peer, room)
+
+    def offer(self, now_ms: float) -> None:
+        """Tell the entry that wants it most of the free room."""
+        report = self._describe(now_ms)
+        peer = self._offers.offer(report.free, now_ms) if report.is_open() else None
+        if peer is not None:
+            # What was offered and used before looks the same, so it is told in any case.
+            self._peers[peer].reported = None
+            self._report_to(peer, report, now_ms)
+
+    def free_for(self, peer: str, free: Room, now_ms: float) -> Room:
+        """Return the part of ``free`` that isn't offered to other entries than ``peer``."""
+        return self._offers.free_for(peer, free, now_ms)
 
     def tick(self, owners: Collection[tuple[str, str]], now_ms: float) -> int:
         """Send what is due, and end the sessions of silent entries.
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -400,6 +400,7 @@
                 self._stop(key, "superseded", now_ms)
             self._reject(peer, session, order, obstacle, now_ms)
             return
+        self.entries.take_offer(peer, order.resources)
         key = (order.task, order.attempt)
         self._runs[key] = _Run(
             peer,
@@ -436,9 +437,8 @@
         self._note(
             "start rejected", task=order.task, attempt=order.attempt, peer=peer, reason=reason
         )
-        ended = RunEnded(
-            order.task, order.attempt, RunEnd.REJECTED.value, 0.0, reason, self._free()
-        )
+        free = self.entries.free_for(peer, self._free(), now_ms)
+        ended = RunEnded(order.task, order.attempt, RunEnd.REJECTED.value, 0.0, reason, free)
         self.entries.send(peer, session, ended, now_ms)
 
     def on_start_answer(
@@ -525,7 +525,9 @@
                 reason=reason,
                 elapsed_ms=round(elapsed_ms),
             )
-        ended = RunEnded(key[0], key[1], how.value, elapsed_ms, reason, self._free())
+        self.entries.offer(now_ms)
+        free = self.entries.free_for(run.peer, self._free(), now_ms)
+        ended = RunEnded(key[0], key[1], how.value, elapsed_ms, reason, free)
         self.entries.send(run.peer, run.session, ended, now_ms)
         self.entries.report(now_ms)
 
@@ -538,6 +540,7 @@
             self._watch_run(key, run, now_ms)
         owners = {(run.peer, run.session) for run in self._runs.values()}
         self.counters.silent_owners += self.entries.tick(owners, now_ms)
+        self.entries.offer(now_ms)
         self.entries.report(now_ms)
 
     def _watch_upstream(self, now_ms: float) -> None:
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -6,7 +6,7 @@
 
 from .agentview import AgentView
 from .ids import UpstreamId
-from .job import JobSpec, Queue
+from .job import JobSpec, Queue, Room
 from .jobqueue import Timing
 
 
@@ -27,6 +27,11 @@
     waiting_since_ms: float = 0.0
     not_before_ms: float = float("-inf")
 
+    @property
+    def room(self) -> Room:
+        """What the task occupies on an upstream."""
+        return self.job.spec.steps[self.step].resources
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- a/snipewell/order.py
+++ b/snipewell/order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec.structs import replace
 
 from .channel import Frame
 from .job import Room
@@ -20,11 +21,19 @@
     labels: list[str]
     draining: bool = False
     healthy: bool = True
+    """False while the upstream leaves calls unanswered or refuses them as unhealthy."""
     entries: int = 1
     """Number of entries that share the upstream."""
     slowness: float = 1.0
     """How long runs take lately, relative to their clients' estimates."""
-    """False while the upstream leaves calls unanswered or refuses them as unhealthy."""
+
+    def is_open(self) -> bool:
+        """Return whether the upstream takes work."""
+        return bool(self.upstream) and self.healthy and not self.draining
+
+    def is_like(self, other: UpstreamReport) -> bool:
+        """Return whether the two differ at most in room and slowness."""
+        return replace(self, free=other.free, slowness=other.slowness) == other
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True):
@@ -85,12 +94,18 @@
     zones_out: list[str]
 
 
+class RoomWanted(msgspec.Struct, tag="wanted", frozen=True):
+    """Tasks of ``cpu_milli`` thousandths of a core in all wait for room at the entry."""
+
+    cpu_milli: int
+
+
 class Goodbye(msgspec.Struct, tag="goodbye", frozen=True):
     """The sender doesn't know this session; it has ended."""
 
 
 AgentBody = Hello | Report | RunEnded | RunSlow | Goodbye
-EntryBody = StartRun | StopRun | Notice | Goodbye
+EntryBody = StartRun | StopRun | Notice | RoomWanted | Goodbye
 AgentFrame = Frame[AgentBody]
 EntryFrame = Frame[EntryBody]
 
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -14,19 +14,22 @@
 from .agentsession import AgentSessions
 from .agentview import AgentView
 from .ids import ScopedKey, ServiceName
-from .job import JobRefused, Room, RunEnd, StepSpec
+from .job import JobRefused, RunEnd, StepSpec
 from .jobqueue import RATE_WINDOW_MS, StartRate, Waiting, plan, retry_after_ms
 from .jobstate import Job, Task
-from .matching import Candidate, choose, may_run
+from .matching import Candidate, Pool, Search, may_run
 from .order import RunSlow
 from .outlier import Health, OutlierDetector
 
-RESERVE_SHARE = 0.3
-"""Share of an upstream's processors that work which is late leaves free, so that it doesn't take
-the room of timely work that other entries have: as much as three tasks of ordinary size."""
 SATURATED_MS = 300.0
 """Time for which tasks must have waited before the plan refuses jobs: a shorter wait is a chance
 meeting of jobs, and the rate of starts isn't known yet."""
+FEW_TASKS = 20
+ROUND_MS = 0.05
+MAX_ROUND_MS = 5.0
+"""Pause before the next round for each task beyond ``FEW_TASKS`` that one left waiting, about five
+times what the round took for it, and the longest such pause: a tenth of what callers leave for
+dispatch."""
 GROWTH = 1.25
 SETTLE_MS = 800.0
 """Nothing is refused for want of room while the known capacity grew by this factor so lately: the
@@ -58,6 +61,8 @@
         note: Callable[..., None],
     ) -> None:
         self.zones_out: frozenset[str] = frozenset()
+        self.wanted = 0
+        """Thousandths of a core that the tasks need which wait for room and should start now."""
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
@@ -66,6 +71,8 @@
         self._refuse = refuse
         self._note = note
         self._outliers = OutlierDetector(rng)
+        self._probing: list[Candidate] = []
+        self._next_round_ms = float("-inf")
         self._rate = StartRate()
         self._capacity = 0
         self._refuse_after_ms = float("-inf")
@@ -78,6 +85,9 @@
         """
         if not waiting:
             self._saturated_since_ms = float("inf")
+            self.wanted = 0
+            return
+        if now_ms < self._next_round_ms:
             return
         self._saturated_since_ms = min(self._saturated_since_ms, now_ms)
         by_service: dict[str, dict[str, list[Task]]] = {}
@@ -85,8 +95,11 @@
             if task.name not in self._stopping and now_ms >= task.not_before_ms:
                 jobs = by_service.setdefault(task.job.queue.service, {})
                 jobs.setdefault(task.job.spec.job, []).append(task)
+        self.wanted = 0
         for service, jobs in by_service.items():
             self._place_service(service, jobs, now_ms)
+        pause_ms = ROUND_MS * max(0, len(waiting) - FEW_TASKS)
+        self._next_round_ms = now_ms + min(pause_ms, MAX_ROUND_MS)
         if not waiting:
             self._saturated_since_ms = float("inf")
 
@@ -101,38 +114,65 @@
         slowness = _median([view.report.slowness for view in views])
         waiting = [self._describe(tasks, slowness) for tasks in jobs.values()]
         planned = plan(waiting, rate, now_ms)
-        full: set[tuple[Room, str]] = set()
-        started = [name for name in planned.late if jobs[name][0].job.started]
+        pool = self._make_pool(views, now_ms)
         # What is left of a job that has started is small, and what was done for it would be lost.
+        started = [name for name in planned.late if jobs[name][0].job.started]
         for name in started:
-            self._start_tasks(jobs[name], views, full, now_ms)
+            self._start_tasks(jobs[name], pool, now_ms)
         for name in planned.timely:
             due_ms = jobs[name][0].job.timing.due_ms
-            self._start_tasks(jobs[name], views, full, now_ms, due_ms)
-        spare = [view for view in views if self._has_reserve(view)]
-        full.clear()
+            self._start_tasks(jobs[name], pool, now_ms, due_ms)
+        self.wanted += sum(
+            task.room.cpu_milli
+            for name in [*started, *planned.timely]
+            for task in jobs[name]
+            if task.view is None
+        )
         for name in [*planned.late, *planned.hopeless]:
-            self._start_tasks([t for t in jobs[name] if t.view is None], spare, full, now_ms)
+            rest = [task for task in jobs[name] if task.view is None]
+            self._start_tasks(rest, pool, now_ms, reserve=True)
+        if now_ms >= self._refuse_after_ms:
+            self._refuse_hopeless(planned.hopeless, jobs, waiting, rate, views, now_ms)
+
+    def _refuse_hopeless(
+        self,
+        names: list[str],
+        jobs: Mapping[str, list[Task]],
+        waiting: list[Waiting],
+        rate: float,
+        views: list[AgentView],
+        now_ms: float,
+    ) -> None:
+        """Refuse the jobs ``names`` unless they have started or the want of room is too new."""
         lasting = views and now_ms - self._saturated_since_ms >= SATURATED_MS
-        if now_ms < self._refuse_after_ms:
-            return
-        for name in planned.hopeless:
+        for name in names:
             job = jobs[name][0].job
-            if not job.started and (
-                lasting or now_ms + job.timing.chain_ms > job.timing.useless_ms
-            ):
-                wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
-                retry_ms = retry_after_ms(wait_ms, self._rng.random())
-                self._note(
-                    "no room for a job",
-                    job=name,
-                    backlog_ms=round(wait_ms),
-                    rate=round(rate, 1),
-                    waiting_jobs=len(waiting),
-                    upstreams=len(views),
-                    retry_after_ms=round(retry_ms),
-                )
-                self._refuse(job, JobRefused("no room in time", retry_ms, True), now_ms)
+            useless = now_ms + job.timing.chain_ms > job.timing.useless_ms
+            if job.started or not (lasting or useless):
+                continue
+            wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
+            retry_ms = retry_after_ms(wait_ms, self._rng.random())
+            self._note(
+                "no room for a job",
+                job=name,
+                backlog_ms=round(wait_ms),
+                rate=round(rate, 1),
+                waiting_jobs=len(waiting),
+                upstreams=len(views),
+                retry_after_ms=round(retry_ms),
+            )
+            self._refuse(job, JobRefused("no room in time", retry_ms, True), now_ms)
+
+    def _make_pool(self, views: list[AgentView], now_ms: float) -> Pool:
+        """Return the upstreams that are sound; those to be probed are kept apart."""
+        health = {view.upstream: self._outliers.health(view.upstream) for view in views}
+        active = [view for view in views if health[view.upstream] is Health.ACTIVE]
+        self._probing = [
+            Candidate.from_view(view)
+            for view in views
+            if health[view.upstream] is Health.PROBING and self._may_probe(view, now_ms)
+        ]
+        return Pool([Candidate.from_view(view) for view in active], self._rng)
 
     def _expect_rate(self, views: list[AgentView], now_ms: float) -> float:
         """Return the work that this entry can start, in core-milliseconds a millisecond.
@@ -152,9 +192,6 @@
         )
         return max(share, measured)
 
-    def _has_reserve(self, view: AgentView) -> bool:
-        return view.room().cpu_milli >= RESERVE_SHARE * view.report.capacity.cpu_milli
-
     def _describe(self, tasks: list[Task], slowness: float) -> Waiting:
         """Return what the plan needs to know of the waiting ``tasks`` of one job.
 
@@ -171,25 +208,28 @@
     def _start_tasks(
         self,
         tasks: list[Task],
-        views: list[AgentView],
-        full: set[tuple[Room, str]],
+        pool: Pool,
         now_ms: float,
         end_by_ms: float = float("inf"),
+        reserve: bool = False,
     ) -> None:
-        """Start ``tasks`` of one job on ``views``; ``full`` holds the shapes without room.
-
-        Upstreams where a task would end after ``end_by_ms`` are left to others.
-        """
+        """Start ``tasks`` of one job where they end by ``end_by_ms``."""
         for task in tasks:
             step = task.job.spec.steps[task.step]
-            shape = (step.resources, step.label)
-            if shape in full:
-                continue
-            able = views
-            if end_by_ms < float("inf"):
-                able = [view for view in views if now_ms + self._expect_ms(task, view) <= end_by_ms]
-            if not self._start(task, step, able, now_ms) and not task.avoid and able is views:
-                full.add(shape)
+            search = Search(step, task.avoid, end_by_ms - now_ms, reserve)
+            choice = self._take_probe(search, now_ms) or pool.find(search)
+            if choice is not None:
+                pool.take(choice, step.resources)
+                self._start_run(task, choice, now_ms)
+
+    def _take_probe(self, search: Search, now_ms: float) -> Candidate | None:
+        """Return an upstream that the task may probe, which is then taken."""
+        for candidate in self._probing:
+            if search.accepts(candidate):
+                self._probing.remove(candidate)
+                self._outliers.on_probe(candidate.view.upstream, now_ms)
+                return candidate
+        return None
 
     def _watch_growth(self, now_ms: float) -> None:
         """Put refusals off while upstreams are still being found, as after a start."""
@@ -206,43 +246,12 @@
             if view.is_usable(service, self.zones_out, now_ms)
         ]
 
-    def _start(self, task: Task, step: StepSpec, views: list[AgentView], now_ms: float) -> bool:
-        """Start the task on one of ``views``; return False if none has room for it."""
-        fitting = [view for view in views if may_run(view, step, view.room())]
-        allowed = [view for view in fitting if view.upstream not in task.avoid]
-        healthy = [
-            view for view in allowed if self._outliers.health(view.upstream) is Health.ACTIVE
-        ]
-        probing = [view for view in allowed if self._may_probe(view, now_ms)]
-        if probing:
-            candidates = probing[:1]
-        elif healthy:
-            candidates = healthy
-        elif any(view.upstream not in task.avoid for view in views):
-            return False
-        else:
-            # Every upstream has failed this task; the least bad is any.
-            candidates = fitting
-        choice = choose(
-            [Candidate(view, self._expect_ms(task, view)) for view in candidates],
-            self._rng,
-        )
-        if choice is None:
-            return False
-        if probing:
-            self._outliers.on_probe(choice.view.upstream, now_ms)
-        self._start_run(task, choice, now_ms)
-        return True
-
     def _may_probe(self, view: AgentView, now_ms: float) -> bool:
         if self._outliers.health(view.upstream) is not Health.PROBING:
             return False
         running = sum(1 for task in self._runs.values() if task.view is view)
         return self._outliers.may_probe(view.upstream, running, now_ms)
 
-    def _expect_ms(self, task: Task, view: AgentView) -> float:
-        return task.job.spec.steps[task.step].estimate_ms * view.report.slowness
-
     def should_move(self, task: Task, view: AgentView, slow: RunSlow, now_ms: float) -> bool:
         """Return whether a slow run should be stopped and started elsewhere.
 
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -425,6 +425,7 @@
         """Start waiting tasks where there is room, and refuse what can no longer be served."""
         if now_ms >= self._paused_until_ms:
             self._placer.place(self._waiting, now_ms)
+        self.sessions.set_wanted(self._placer.wanted, now_ms)
 
     def _start_run(self, task: Task, choice: Candidate, now_ms: float) -> None:
         step = task.job.spec.steps[task.step]
@@ -450,7 +451,7 @@
             task=task.name,
             attempt=task.attempt,
             upstream=view.upstream,
-            expected_ms=round(choice.expected_ms),
+            expected_ms=round(step.estimate_ms * choice.slowness),
             waited_ms=round(waited_ms),
             free_cpu=view.free.cpu_milli,
             report_age_ms=round(now_ms - view.channel.heard_ms),
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -408,6 +408,7 @@
     seed: int
     agent_count: int = 4
     entry_count: int = 3
+    step_ms: float = 5.0
     now: float = 10_000.0
     records: list[RunRecord] = field(default_factory=list)
     requests: int = 0
@@ -495,7 +496,7 @@
     def run(self, for_ms: float) -> None:
         """Advance the fleet by ``for_ms``."""
         end = self.now + for_ms
-        step = 5.0
+        step = self.step_ms
         while self.now < end:
             self.now += step
             while self.heap and self.heap[0][0] <= self.now:
