Let idle sessions beat less often, and send news of room without acknowledgement

Change: sessions without runs beat at a budget of frames a second, 600 ms at most; reports of room and speed alone are news, neither acknowledged nor repeated but refreshed every 2 s; other frames are acknowledged within a beat and repeated after 300 ms; ZeroMQ pings every 10 s; an agent without runs looks at its timers every 100 ms.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -12,7 +12,7 @@
 
 from .agentview import AgentView
 from .channel import Channel, ChannelFullError
-from .entrysession import BEAT_MS, OWNER_SILENCE_MS
+from .entrysession import BEAT_MS, OWNER_SILENCE_MS, idle_beat_ms
 from .executor import STOP_RETRY_MS
 from .order import (
     AgentBody,
@@ -31,12 +31,17 @@
 
 WANTED_HOLD_MS = 300.0
 """Time without waiting tasks after which agents are told that no room is wanted."""
-WANTED_PAUSE_MS = 50.0
+WANTED_PAUSE_MS = 150.0
 WANTED_FACTOR = 2.0
 """Agents are told again how much room is wanted when it has changed by this factor, at most so
 often."""
-AGENT_SILENCE_MS = 600.0
-"""Silence after which an agent gets no more work: three beats."""
+SILENT_BEATS = 3.0
+"""Beats that an agent misses before it gets no more work."""
+AGENT_SILENCE_MS = SILENT_BEATS * BEAT_MS
+"""The same for an agent with runs."""
+IDLE_FRAMES_PER_S = 100.0
+"""Frames without content that an entry sends on its sessions without runs, each second in all:
+about 1% of a core."""
 STOP_MARGIN_MS = 2 * STOP_RETRY_MS
 """Time for an agent to stop the runs of a silent entry, with one lost stop."""
 
@@ -124,6 +129,9 @@
             return
         if isinstance(body, StartRun):
             view.unreflected[frame.number] = body.resources
+            if not view.runs:
+                view.busy_since_ms = now_ms
+            view.runs += 1
         if not view.suspect:
             self._send(SendAgent(view.peer, frame))
 
@@ -172,6 +180,7 @@
                 view.take_report(body.report, acked)
                 return self._replace_older(view)
             case RunEnded():
+                view.runs -= 1
                 if body.free is not None:
                     view.take_free(body.free, acked)
                 return [AgentRunEnded(view, body)]
@@ -199,10 +208,11 @@
     def tick(self, now_ms: float) -> list[SessionEvent]:
         """Send what is due, and give up agents that are silent."""
         events: list[SessionEvent] = []
+        idle_ms = idle_beat_ms(len(self._views), IDLE_FRAMES_PER_S)
         for view in list(self._views.values()):
             channel = view.channel
-            silent_ms = now_ms - channel.heard_ms
-            if not view.suspect and silent_ms >= AGENT_SILENCE_MS:
+            silent_ms = now_ms - max(channel.heard_ms, view.busy_since_ms)
+            if not view.suspect and silent_ms >= _longest_silence_ms(view):
                 view.suspect = True
             if view.suspect:
                 gone_ms = channel.sent_ms + OWNER_SILENCE_MS + STOP_MARGIN_MS
@@ -211,6 +221,14 @@
                 continue
             for frame in channel.resend(now_ms):
                 self._send(SendAgent(view.peer, frame))
-            if now_ms - channel.sent_ms >= BEAT_MS:
+            busy = view.runs > 0 or channel.owes_ack
+            if now_ms - channel.sent_ms >= (BEAT_MS if busy else idle_ms):
                 self._send(SendAgent(view.peer, channel.send(None, now_ms)))
         return events
+
+
+def _longest_silence_ms(view: AgentView) -> float:
+    """Return how long the agent may be silent before it gets no more work."""
+    if view.runs:
+        return AGENT_SILENCE_MS
+    return SILENT_BEATS * idle_beat_ms(view.report.entries)
--- a/snipewell/agentview.py
+++ b/snipewell/agentview.py
@@ -24,6 +24,10 @@
     report: UpstreamReport
     free: Room = field(default_factory=Room)
     unreflected: dict[int, Room] = field(default_factory=dict)
+    runs: int = 0
+    """Starts that were ordered in the session and whose end isn't known."""
+    busy_since_ms: float = float("-inf")
+    """When the first of them was ordered."""
     suspect: bool = False
     """The agent is silent; it gets no frames until it speaks again or its runs are given up."""
     refused_until_ms: float = float("-inf")
--- a/snipewell/channel.py
+++ b/snipewell/channel.py
@@ -17,8 +17,9 @@
 Out = TypeVar("Out")
 In = TypeVar("In")
 
-RESEND_MS = 120.0
-"""Wait for an acknowledgement before frames are repeated; several round trips between zones."""
+RESEND_MS = 300.0
+"""Wait for an acknowledgement before frames are repeated. The other side sends one within a beat of
+200 ms, and frames are lost with their connection alone."""
 FIRST_RESEND_MS = 30.0
 """The same for the first frame, which is lost if the connection is still being opened."""
 MAX_UNACKED = 5_000
@@ -32,8 +33,8 @@
 class Frame(msgspec.Struct, Generic[Body], array_like=True):
     """One message of a session.
 
-    ``number`` is 0 for a frame without body. ``acked`` is the highest number received in order.
-    ``sent_ms`` is the sender's monotonic clock.
+    ``number`` is 0 for a frame without body or with mere news. ``acked`` is the highest number
+    received in order. ``sent_ms`` is the sender's monotonic clock.
     """
 
     session: str
@@ -57,6 +58,8 @@
         """When this side last sent a frame."""
         self._next_number = 1
         self._received = 0
+        self._told_received = 0
+        self._news_ms = float("-inf")
         self._unacked: deque[tuple[int, Out]] = deque()
         self._resend_at_ms = 0.0
         self._opened_ms = now_ms
@@ -70,6 +73,7 @@
     def send(self, body: Out | None, now_ms: float) -> Frame[Out]:
         """Return the frame that carries ``body``, or an acknowledgement alone if it is None."""
         self.sent_ms = now_ms
+        self._told_received = self._received
         if body is None:
             return Frame(self.session, 0, self._received, now_ms)
         if len(self._unacked) >= MAX_UNACKED:
@@ -81,6 +85,17 @@
         self._unacked.append((number, body))
         return Frame(self.session, number, self._received, now_ms, body)
 
+    def send_news(self, body: Out, now_ms: float) -> Frame[Out]:
+        """Return a frame that is neither acknowledged nor repeated; later news replaces it."""
+        self.sent_ms = now_ms
+        self._told_received = self._received
+        return Frame(self.session, 0, self._received, now_ms, body)
+
+    @property
+    def owes_ack(self) -> bool:
+        """Whether the other side has sent frames that this one hasn't acknowledged."""
+        return self._told_received < self._received
+
     @property
     def is_answered(self) -> bool:
         """Whether a frame of the other side has arrived."""
@@ -106,7 +121,14 @@
         while self._unacked and self._unacked[0][0] <= frame.acked:
             self._unacked.popleft()
             self._resend_at_ms = now_ms + RESEND_MS
-        if frame.body is None or frame.number != self._received + 1:
+        if frame.body is None:
+            return []
+        if frame.number == 0:
+            if frame.sent_ms < self._news_ms:
+                return []
+            self._news_ms = frame.sent_ms
+            return [frame.body]
+        if frame.number != self._received + 1:
             return []
         self._received += 1
         return [frame.body]
@@ -117,6 +139,7 @@
             return []
         self._resend_at_ms = now_ms + RESEND_MS
         self.sent_ms = now_ms
+        self._told_received = self._received
         return [
             Frame(self.session, number, self._received, now_ms, body)
             for number, body in self._unacked
--- a/snipewell/daemon.py
+++ b/snipewell/daemon.py
@@ -20,7 +20,9 @@
 
 TICK_MS = 20.0
 """Pause between two looks at timers; short against the 60 ms that callers leave for dispatch."""
-FLUSH_MS = 100.0
+IDLE_TICK_MS = 100.0
+"""The same in a process without work, where only beats and silences are watched."""
+FLUSH_MS = 250.0
 """Pause between two writes of the log."""
 SILENCE_MS = 2_000.0
 """Silence after which keep-alive probes drop a connection, below the clients' shortest deadline
@@ -50,11 +52,13 @@
                 method(*args, self._clock.now_ms())
             await self._perform()
 
-    async def run_ticks(self, tick: Callable[[float], None]) -> None:
-        """Have ``tick`` called every ``TICK_MS``."""
+    async def run_ticks(
+        self, tick: Callable[[float], None], is_idle: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Have ``tick`` called every ``TICK_MS``, less often while ``is_idle()``."""
         while True:
             await self.put(tick)
-            await curio.sleep(TICK_MS / 1000)
+            await curio.sleep((IDLE_TICK_MS if is_idle() else TICK_MS) / 1000)
 
 
 async def flush_log(buffer: LogBuffer) -> None:
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -16,6 +16,7 @@
 from .job import Room
 from .offers import Offers
 from .order import (
+    NO_REPORT,
     AgentBody,
     AgentFrame,
     EntryBody,
@@ -28,7 +29,14 @@
 )
 
 BEAT_MS = 200.0
-"""Longest pause between two frames of a session; a quarter of the silence that ends it."""
+"""Longest pause between two frames of a session with runs; a quarter of the silence that ends
+it."""
+IDLE_FRAMES_PER_S = 20.0
+"""Frames without content that an agent sends on its sessions without runs, each second in all: the
+cost of two tasks."""
+MAX_IDLE_BEAT_MS = 600.0
+"""Longest pause between two frames of a session without runs; a third of the silence that ends
+it."""
 OWNER_SILENCE_MS = 900.0
 """Silence after which an entry's runs are stopped. A client sends its job again 1,300 ms after a
 lost answer (``resendIntervalMs``); 400 ms are left to stop the runs, one lost stop included."""
@@ -37,13 +45,23 @@
 session that takes longer to open is replaced at once, which costs one round trip."""
 REPORT_MS = 10.0
 """Shortest pause between two reports to an entry, which bounds their number."""
-ROOM_REPORT_MS = 200.0
-SCARCE_REPORT_MS = 60.0
-"""Shortest pause between two reports that differ in room or speed alone, in general and while less
-than ``SCARCE_SHARE`` of the processors is free: the durations of a task and of a few round trips.
-An entry that wants room is told at once of what it is offered."""
+REFRESH_MS = 2_000.0
+"""Pause after which a report is repeated although nothing changed, in case the last was lost."""
 SCARCE_SHARE = 0.3
-"""As much as three tasks of ordinary size, which other entries may start between two reports."""
+"""Room is scarce while less than this share of the processors is free: as much as three tasks of
+ordinary size, which other entries may start between two reports."""
+SCARCE_BEATS = 0.3
+"""Shortest pause between two reports of scarce room, in idle beats: 60 ms with few entries, the
+time that callers leave for dispatch. Room that isn't scarce is reported once a beat, and an entry
+that wants room is told at once of what it is offered."""
+
+
+def idle_beat_ms(sessions: int, frames_per_s: float = IDLE_FRAMES_PER_S) -> float:
+    """Return the longest pause between two frames of a session without runs.
+
+    It grows with the number of ``sessions``, so that idle sessions cost ``frames_per_s`` in all.
+    """
+    return min(max(BEAT_MS, 1_000 * sessions / frames_per_s), MAX_IDLE_BEAT_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +77,7 @@
     """An entry; ``channel`` is None while runs of the last session are still being stopped."""
 
     channel: Channel[AgentBody, EntryBody] | None = None
-    reported: UpstreamReport | None = None
+    reported: UpstreamReport = NO_REPORT
     reported_ms: float = float("-inf")
     sessions: int = 0
 
@@ -171,8 +189,9 @@
             self._end(peer, str(error), now_ms)
 
     def report(self, now_ms: float) -> None:
-        """Tell each entry of a change of the upstream, of mere room and speed less often."""
+        """Tell each entry of a change of the upstream, less often if it is of room or speed."""
         report: UpstreamReport | None = None
+        beat_ms = idle_beat_ms(len(self._peers))
         for peer, state in self._peers.items():
             pause_ms = now_ms - state.reported_ms
             if state.channel is None or pause_ms < REPORT_MS:
@@ -180,16 +199,21 @@
             report = report or self._describe(now_ms)
             known = state.reported
             scarce = report.free.cpu_milli < SCARCE_SHARE * report.capacity.cpu_milli
-            room_ms = SCARCE_REPORT_MS if scarce else ROOM_REPORT_MS
-            if pause_ms >= room_ms or known is None or not report.is_like(known):
-                self._report_to(peer, report, now_ms)
+            room_ms = beat_ms * (SCARCE_BEATS if scarce else 1.0)
+            if pause_ms >= room_ms or not report.is_like(known):
+                free = self._offers.free_for(peer, report.free, now_ms)
+                told = replace(report, free=free)
+                if told != known or pause_ms >= REFRESH_MS:
+                    self._report_to(peer, told, now_ms)
 
     def _report_to(self, peer: str, report: UpstreamReport, now_ms: float) -> None:
+        """Send a report, for sure if it tells of more than room and speed."""
         state = self._peers[peer]
-        report = replace(report, free=self._offers.free_for(peer, report.free, now_ms))
-        if report != state.reported:
-            state.reported = report
-            state.reported_ms = now_ms
+        known, state.reported = state.reported, report
+        state.reported_ms = now_ms
+        if state.channel is not None and report.is_like(known):
+            self._send_frame(SendFrame(peer, state.channel.send_news(Report(report), now_ms)))
+        else:
             self._send(peer, Report(report), now_ms)
 
     def take_offer(self, peer: str, room: Room) -> None:
@@ -201,9 +225,8 @@
         report = self._describe(now_ms)
         peer = self._offers.offer(report.free, now_ms) if report.is_open() else None
         if peer is not None:
-            # What was offered and used before looks the same, so it is told in any case.
-            self._peers[peer].reported = None
-            self._report_to(peer, report, now_ms)
+            free = self._offers.free_for(peer, report.free, now_ms)
+            self._report_to(peer, replace(report, free=free), now_ms)
 
     def free_for(self, peer: str, free: Room, now_ms: float) -> Room:
         """Return the part of ``free`` that isn't offered to other entries than ``peer``."""
@@ -231,6 +254,7 @@
             return owns
         for frame in channel.resend(now_ms):
             self._send_frame(SendFrame(peer, frame))
-        if now_ms - channel.sent_ms >= BEAT_MS:
+        busy = owns or channel.owes_ack
+        if now_ms - channel.sent_ms >= (BEAT_MS if busy else idle_beat_ms(len(self._peers))):
             self._send(peer, None, now_ms)
         return False
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -20,7 +20,16 @@
 from .entrysession import EntrySessions, SendFrame
 from .job import Room, RunEnd
 from .lease import LeaseClock
-from .order import EntryFrame, Notice, RunEnded, RunSlow, StartRun, StopRun, UpstreamReport
+from .order import (
+    NO_REPORT,
+    EntryFrame,
+    Notice,
+    RunEnded,
+    RunSlow,
+    StartRun,
+    StopRun,
+    UpstreamReport,
+)
 from .speed import Speedometer
 from .upstreamcall import (
     CallHold,
@@ -581,7 +590,7 @@
     def _describe(self, now_ms: float) -> UpstreamReport:
         upstream = self._upstream
         if upstream is None or not self._confirmed:
-            return UpstreamReport("", "", "", Room(), Room(), [])
+            return NO_REPORT
         return UpstreamReport(
             upstream.upstream,
             upstream.service,
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -229,7 +229,9 @@
         await registration.serve(listener)
         tasks = [
             await curio.spawn(self._task.run, daemon=True),
-            await curio.spawn(self._task.run_ticks, self._core.tick, daemon=True),
+            await curio.spawn(
+                self._task.run_ticks, self._core.tick, lambda: not self._core.running, daemon=True
+            ),
             await curio.spawn(flush_log, self._buffer, daemon=True),
             await curio.spawn(self._keep_connected, daemon=True),
             await curio.spawn(
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -30,9 +30,10 @@
 
 ENTRY_CODEC = Codec(encode_frame, decode_agent_frame)
 JOB_TRANSPORT = TransportLimits(
-    queue_messages=5_000, max_message_bytes=4 * 1024 * 1024, ping_ms=300, silence_ms=900
+    queue_messages=5_000, max_message_bytes=4 * 1024 * 1024, ping_ms=10_000, silence_ms=30_000
 )
-"""A connection that went silent is replaced when an entry's silence ends its sessions."""
+"""ZeroMQ's own pings only clear away connections whose peer is gone for good. A connection that
+went silent is replaced when the silence ends its session."""
 DRAIN_NOTICE_MS = 2_500.0
 """How long a stopping entry still takes requests: the balancer looks once a second and takes an
 entry out after two misses."""
--- a/snipewell/order.py
+++ b/snipewell/order.py
@@ -36,6 +36,10 @@
         return replace(self, free=other.free, slowness=other.slowness) == other
 
 
+NO_REPORT = UpstreamReport("", "", "", Room(), Room(), [])
+"""The report of an agent without an upstream to use."""
+
+
 class Hello(msgspec.Struct, tag="hello", frozen=True):
     """The first frame of a session; nothing of the agent's earlier sessions runs any more."""
 
