--- a/snipewell/standins/orders.py
+++ b/snipewell/standins/orders.py
@@ -70,6 +70,8 @@
         self.cpu = cpu
         self.faults = OrderFaults()
         self.draining = False
+        self.advertised = ""
+        """Address that heartbeats name instead of the upstream's own."""
         self.history: list[Run] = []
         self._rng = rng
         self._clock = SystemClock()
@@ -118,7 +120,7 @@
             self._sequence += 1
             body = {
                 "service": self.service,
-                "address": f"127.0.0.1:{self._server.address[1]}",
+                "address": self.advertised or f"127.0.0.1:{self._server.address[1]}",
                 "zone": self.zone,
                 "state": "draining" if self.draining else "ready",
                 "sequence": self._sequence,
