--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 
 REGRESSIONS = {
     6: "clients gave up after six sends while all processes were away three times in a row",
+    12: "the same, with one entry killed, paused, held and stopped in turn",
 }
 """Seeds that failed once at the default options, and why; ``--regressions`` plays them."""
 
