--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
 from .entrysession import STOP_RETRY_MS, EntrySessions, SendFrame
 from .job import Room, RunEnd
@@ -32,6 +31,7 @@
     StopRun,
     UpstreamReport,
 )
+from .run import MIN_PERCENT, SLOW_REPORT_MS, Run, RunState
 from .speed import Speedometer
 from .upstreamcall import (
     CallHold,
@@ -61,17 +61,6 @@
 STALL_SHARE = 0.35
 """A run is stopped after no progress for ``STALL_MS`` and this share of its expected duration. On a
 sound upstream, 1% of progress shows within a hundredth of the duration."""
-SLOW_FACTOR = 2.0
-"""A run that will take this many times as long as expected is reported; estimates are rarely off
-by more (clients state durations within about 40%)."""
-SLOW_AFTER_MS = 100.0
-"""Shortest time of a run after which its progress tells its duration."""
-SLOW_SHARE = 0.1
-"""Share of the expected duration after which progress tells the duration: ten percents of it."""
-MIN_PERCENT = 10.0
-"""Progress from which the duration of a run is foreseen, within a tenth."""
-SLOW_REPORT_MS = 300.0
-"""Pause between two reports on one slow run."""
 UNHEALTHY_MS = 1_000.0
 """How long an upstream that refused or did not answer a start is reported as unhealthy."""
 FENCE_JUMP = 600_000
@@ -90,32 +79,6 @@
 ExecutorEffect = CallStart | CallStop | CallHold | SendFrame | NoteRun
 
 
-class _State(Enum):
-    STARTING = "starting"
-    UNCLEAR = "unclear"
-    RUNNING = "running"
-
-
-@dataclass(slots=True)
-class _Run:
-    peer: str
-    session: str
-    order: StartRun
-    resources: Room
-    state: _State
-    ordered_ms: float
-    fence: int
-    progress_ms: float
-    percent: float = -1.0
-    slow_ms: float = float("-inf")
-    """When the run was last reported as slow."""
-    retried: bool = False
-    missing: RunEnd = RunEnd.REJECTED
-    """How the run has ended if its start was unclear and the upstream doesn't list it."""
-    stop_reason: str = ""
-    stop_sent_ms: float = float("-inf")
-
-
 @dataclass(slots=True)
 class ExecutorCounters:
     """Counts since the start, for the metrics."""
@@ -146,7 +109,7 @@
         self._speed = Speedometer()
         self._acked = 0
         self._ack_due = False
-        self._runs: dict[tuple[str, int], _Run] = {}
+        self._runs: dict[tuple[str, int], Run] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._zones_revision = -1
         self._draining = False
@@ -200,7 +163,7 @@
         if self._upstream is not None and self._upstream.upstream == upstream.upstream:
             # A start may have reached the new life before this agent knew of it.
             for run in self._runs.values():
-                run.state = _State.UNCLEAR
+                run.state = RunState.UNCLEAR
                 run.missing = RunEnd.LOST
         else:
             self._drop_runs("a new life of the upstream", now_ms)
@@ -315,38 +278,33 @@
     def _settle(
         self,
         key: tuple[str, int],
-        run: _Run,
+        run: Run,
         row: RunRow | None,
         call: CallHold,
         now_ms: float,
     ) -> None:
         """Compare a run with the upstream's list."""
         if row is not None:
-            if run.state is not _State.RUNNING:
-                run.state = _State.RUNNING
+            if run.state is not RunState.RUNNING:
+                run.state = RunState.RUNNING
                 run.progress_ms = now_ms
             if row.percent > run.percent:
                 run.percent = row.percent
                 run.progress_ms = now_ms
             self._judge_speed(key, run, now_ms)
             return
-        if run.state is _State.UNCLEAR and call.fence > run.fence:
+        if run.state is RunState.UNCLEAR and call.fence > run.fence:
             self._finish(key, run.missing, "the upstream doesn't list the run", now_ms)
-        elif run.state is _State.RUNNING and call.sent_ms > run.progress_ms:
+        elif run.state is RunState.RUNNING and call.sent_ms > run.progress_ms:
             self._finish(key, RunEnd.LOST, "the upstream doesn't list the run", now_ms)
 
-    def _judge_speed(self, key: tuple[str, int], run: _Run, now_ms: float) -> None:
+    def _judge_speed(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
         """Report a run that will take far longer than expected."""
-        elapsed_ms = now_ms - run.ordered_ms
-        expected_ms = run.order.estimate_ms
-        if elapsed_ms < max(SLOW_AFTER_MS, SLOW_SHARE * expected_ms) or run.stop_reason:
-            return
-        total_ms = _foresee_ms(run, now_ms)
-        if total_ms < SLOW_FACTOR * expected_ms or now_ms - run.slow_ms < SLOW_REPORT_MS:
-            return
-        run.slow_ms = now_ms
-        slow = RunSlow(key[0], key[1], elapsed_ms, total_ms - elapsed_ms)
-        self.entries.send(run.peer, run.session, slow, now_ms)
+        if run.is_slow(now_ms) and now_ms - run.slow_ms >= SLOW_REPORT_MS:
+            run.slow_ms = now_ms
+            elapsed_ms = now_ms - run.ordered_ms
+            slow = RunSlow(key[0], key[1], elapsed_ms, run.foresee_ms(now_ms) - elapsed_ms)
+            self.entries.send(run.peer, run.session, slow, now_ms)
 
     # Orders.
 
@@ -408,12 +366,12 @@
             return
         self.entries.take_offer(peer, order.resources)
         key = (order.task, order.attempt)
-        self._runs[key] = _Run(
+        self._runs[key] = Run(
             peer,
             session,
             order,
             order.resources,
-            _State.STARTING,
+            RunState.STARTING,
             now_ms,
             self._fence,
             now_ms,
@@ -421,7 +379,7 @@
         self._call_start(self._runs[key], now_ms)
         self.entries.report(now_ms)
 
-    def _call_start(self, run: _Run, now_ms: float) -> None:
+    def _call_start(self, run: Run, now_ms: float) -> None:
         assert self._upstream is not None
         run.fence = self._fence
         run.ordered_ms = now_ms
@@ -455,12 +413,12 @@
             self._lease.observe(clock_ms, now_ms)
         key = (call.task, call.attempt)
         run = self._runs.get(key)
-        if run is None or run.state is not _State.STARTING:
+        if run is None or run.state is not RunState.STARTING:
             return
         match result:
             case StartResult.STARTED:
                 self.counters.started += 1
-                run.state = _State.RUNNING
+                run.state = RunState.RUNNING
                 run.progress_ms = now_ms
                 if run.stop_reason:
                     self._call_stop(run, now_ms)
@@ -478,7 +436,7 @@
             case _:
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
 
-    def _may_retry(self, run: _Run, now_ms: float) -> bool:
+    def _may_retry(self, run: Run, now_ms: float) -> bool:
         """Return whether a refused start may be sent again.
 
         If this process stood still before it sent the start, the entry has given the run up.
@@ -486,9 +444,9 @@
         fresh = now_ms - run.ordered_ms < START_TIMEOUT_MS
         return fresh and not run.retried and not run.stop_reason
 
-    def _on_unclear_start(self, run: _Run, now_ms: float) -> None:
+    def _on_unclear_start(self, run: Run, now_ms: float) -> None:
         self.counters.unclear += 1
-        run.state = _State.UNCLEAR
+        run.state = RunState.UNCLEAR
         if run.fence >= self._fence:
             self._fence += 1
         self._note("a start got no answer", task=run.order.task, attempt=run.order.attempt)
@@ -506,10 +464,10 @@
             return
         run.stop_reason = reason
         self._note("stopping a run", task=key[0], attempt=key[1], reason=reason)
-        if run.state is _State.RUNNING:
+        if run.state is RunState.RUNNING:
             self._call_stop(run, now_ms)
 
-    def _call_stop(self, run: _Run, now_ms: float) -> None:
+    def _call_stop(self, run: Run, now_ms: float) -> None:
         assert self._upstream is not None
         run.stop_sent_ms = now_ms
         self.effects.append(
@@ -553,7 +511,7 @@
         if self._upstream is None:
             return
         unclear = not self._confirmed or any(
-            run.state is _State.UNCLEAR for run in self._runs.values()
+            run.state is RunState.UNCLEAR for run in self._runs.values()
         )
         if unclear and now_ms - self._look_sent_ms >= LOOK_RETRY_MS:
             self._look(now_ms)
@@ -561,8 +519,8 @@
             self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
             self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
 
-    def _watch_run(self, key: tuple[str, int], run: _Run, now_ms: float) -> None:
-        if run.state is not _State.RUNNING:
+    def _watch_run(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
+        if run.state is not RunState.RUNNING:
             return
         if run.stop_reason:
             if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
@@ -603,7 +561,7 @@
 
     def _slowness(self, now_ms: float) -> float:
         foreseen = [
-            _foresee_ms(run, now_ms) / max(1.0, run.order.estimate_ms)
+            run.foresee_ms(now_ms) / max(1.0, run.order.estimate_ms)
             for run in self._runs.values()
             if run.percent >= MIN_PERCENT
         ]
@@ -611,11 +569,3 @@
 
     def _note(self, text: str, **fields: object) -> None:
         self.effects.append(NoteRun(text, fields))
-
-
-def _foresee_ms(run: _Run, now_ms: float) -> float:
-    """Return the whole duration of a run as its progress tells it.
-
-    Progress is told in whole percents; the run may be almost one further.
-    """
-    return 100.0 * (now_ms - run.ordered_ms) / (run.percent + 1.0)
