Ignore the first frame of a session that a later one of the agent has replaced

Cause: after a partition the bytes of a connection that the agent gave up may arrive behind those of its successor. The entry then took the old session for the newest, counted the present one's runs as ended and could start their tasks again up to 60 ms before the agent had stopped them. Found in reading the transport. Change: the number of a session rises within a life of its agent; a first frame with a lower one is ignored. Result: the test in test_agentsession.py fails without the check. Tests of news and of idle sessions added.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from .agentview import AgentView
-from .channel import Channel, ChannelFullError
+from .channel import Channel, ChannelFullError, session_number
 from .entrysession import BEAT_MS, OWNER_SILENCE_MS, STOP_RETRY_MS, idle_beat_ms
 from .order import (
     AgentBody,
@@ -41,6 +41,8 @@
 IDLE_FRAMES_PER_S = 100.0
 """Frames without content that an entry sends on its sessions without runs, each second in all:
 about 1% of a core."""
+MAX_NUMBERS = 10_000
+"""Lives of agents whose latest session is remembered, several for each agent of a large fleet."""
 STOP_MARGIN_MS = 2 * STOP_RETRY_MS
 """Time for an agent to stop the runs of a silent entry, with one lost stop."""
 
@@ -87,6 +89,8 @@
         self._send = send
         self._views: dict[str, AgentView] = {}
         self._by_upstream: dict[str, AgentView] = {}
+        self._numbers: dict[str, int] = {}
+        """The number of the latest session of each life of an agent."""
         self._notice = Notice(-1, [])
         self._wanted = 0
         self._wanted_ms = float("-inf")
@@ -146,6 +150,9 @@
                 goodbye = EntryFrame(frame.session, 0, 0, now_ms, Goodbye())
                 self._send(SendAgent(peer, goodbye))
                 return []
+            if session_number(frame.session) < self._numbers.get(peer, 0):
+                # A connection that the agent gave up during a partition delivers its bytes late.
+                return []
             if view is not None:
                 events.append(self._drop(view, "the agent opened a new session"))
             view = self._open(peer, frame.session, frame.body, now_ms)
@@ -161,6 +168,9 @@
     def _open(self, peer: str, session: str, hello: Hello, now_ms: float) -> AgentView:
         channel: Channel[EntryBody, AgentBody] = Channel(session, now_ms)
         view = AgentView(peer, hello.agent, channel, hello.report)
+        self._numbers[peer] = session_number(session)
+        if len(self._numbers) > MAX_NUMBERS:
+            del self._numbers[next(iter(self._numbers))]
         self._views[peer] = view
         if self._notice.revision >= 0:
             self.send(view, self._notice, now_ms)
--- a/snipewell/channel.py
+++ b/snipewell/channel.py
@@ -26,6 +26,17 @@
 """Frames that a channel keeps for repetition; far more than a session has in flight."""
 
 
+def name_session(incarnation: str, number: int) -> str:
+    """Return the name of the ``number``-th session of one life of the side that opens them."""
+    return f"{incarnation}.{number}"
+
+
+def session_number(session: str) -> int:
+    """Return the number in the name of a session, 0 if it has none."""
+    number = session.rpartition(".")[2]
+    return int(number) if number.isascii() and number.isdigit() else 0
+
+
 class ChannelFullError(Exception):
     """The other side acknowledges nothing; the session should be given up."""
 
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -12,7 +12,7 @@
 
 from msgspec.structs import replace
 
-from .channel import Channel, ChannelFullError
+from .channel import Channel, ChannelFullError, name_session
 from .job import Room
 from .offers import Offers
 from .order import (
@@ -139,7 +139,7 @@
     def _open(self, peer: str, now_ms: float) -> None:
         state = self._peers[peer]
         state.sessions += 1
-        state.channel = Channel(f"{self._incarnation}.{state.sessions}", now_ms)
+        state.channel = Channel(name_session(self._incarnation, state.sessions), now_ms)
         state.reported = self._describe(now_ms)
         state.reported_ms = now_ms
         self._send(peer, Hello(self._agent, state.reported), now_ms)
--- a/tests/test_agentsession.py
+++ b/tests/test_agentsession.py
@@ -168,3 +168,32 @@
     assert notices == [Notice(5, ["z1"])]
     bench.open("p2", "s2", agent="a2")
     assert isinstance(bench.sent[-1].frame.body, Notice)
+
+
+def test_a_first_frame_that_a_partition_held_up_does_not_bring_an_old_session_back() -> None:
+    """The runs of the present session would count as ended and start again elsewhere."""
+    bench = Bench()
+    old: Channel[AgentBody, EntryBody] = Channel("life.1", bench.now)
+    late = old.send(Hello("a1", REPORT), bench.now)
+    bench.open("p1", "life.2")
+    assert bench.sessions.on_frame("p1", late, bench.now + 500) == []
+    assert [view.channel.session for view in bench.sessions.views()] == ["life.2"]
+    bench.open("p1", "life.3")
+    assert [view.channel.session for view in bench.sessions.views()] == ["life.3"]
+
+
+def test_an_idle_agent_may_be_quiet_for_longer_in_a_large_fleet() -> None:
+    """Guards against agents that count as silent between two beats of an idle session."""
+    bench = Bench()
+    bench.open(
+        "p1", report=UpstreamReport("u1", "svc", "z1", Room(9, 9), Room(9, 9), [], entries=11)
+    )
+    bench.now += AGENT_SILENCE_MS + 50
+    bench.sessions.tick(bench.now)
+    (view,) = bench.sessions.views()
+    assert not view.suspect
+    bench.sessions.send(view, StartRun("t", 1, "", Room(1, 1), 100.0), bench.now)
+    bench.sessions.tick(bench.now + AGENT_SILENCE_MS - 1)
+    assert not view.suspect
+    bench.sessions.tick(bench.now + AGENT_SILENCE_MS)
+    assert view.suspect
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -80,3 +80,18 @@
         left.send(str(number), 0.0)
     with pytest.raises(ChannelFullError):
         left.send("one too many", 0.0)
+
+
+def test_news_is_neither_numbered_nor_repeated_and_never_goes_back() -> None:
+    """Guards against acknowledgements for every report, and against old news over newer."""
+    left: Channel[str, str] = Channel("s", 0.0)
+    right: Channel[str, str] = Channel("s", 0.0)
+    first, second = left.send_news("first", 1.0), left.send_news("second", 2.0)
+    assert left.unacked == 0
+    assert right.receive(second, 3.0) == ["second"]
+    assert right.receive(first, 3.0) == []
+    assert not right.owes_ack
+    assert right.receive(left.send("order", 4.0), 5.0) == ["order"]
+    assert right.owes_ack
+    right.send(None, 6.0)
+    assert not right.owes_ack
