--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -135,9 +135,13 @@
         """Send what had to wait, for the life of the connection."""
         while True:
             await self._stuck.wait()
-            while self._pending:
-                sent = await self._sock.send(bytes(self._pending[:_READ_BYTES]))
-                del self._pending[:sent]
+            try:
+                while self._pending:
+                    sent = await self._sock.send(bytes(self._pending[:_READ_BYTES]))
+                    del self._pending[:sent]
+            except OSError:
+                # The reading task learns why, and reports it.
+                self.shut()
             self._stuck.clear()
 
     async def read(self) -> list[bytes]:
