--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -170,7 +170,29 @@
             await self._sock.close()
 
 
-class StreamServer:
+class _Peers:
+    """The open connections by the names of the peers."""
+
+    def __init__(
+        self, codec: Codec, deliver: Deliver, report: Report, limits: StreamLimits
+    ) -> None:
+        self._codec = codec
+        self._deliver = deliver
+        self._report = report
+        self._limits = limits
+        self._streams: dict[str, _Stream] = {}
+
+    async def _take(self, peer: str, frames: list[bytes]) -> None:
+        for frame in frames:
+            await self._deliver(peer, self._codec.decode(frame))
+
+    async def send(self, peer: str, message: Any) -> bool:
+        """Send ``message``; return False if ``peer`` isn't connected."""
+        stream = self._streams.get(peer)
+        return stream is not None and await stream.write(self._codec.encode(message))
+
+
+class StreamServer(_Peers):
     """The listening side; it reaches every peer that has connected.
 
     For example ``server = StreamServer(listener, codec, deliver, report)``, then
@@ -185,14 +207,10 @@
         report: Report,
         limits: StreamLimits | None = None,
     ) -> None:
+        super().__init__(codec, deliver, report, limits or StreamLimits())
         host, port = listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self._listener = curio.io.Socket(listener)
-        self._codec = codec
-        self._deliver = deliver
-        self._report = report
-        self._limits = limits or StreamLimits()
-        self._streams: dict[str, _Stream] = {}
         self._tasks: set[curio.Task] = set()
 
     async def start(self) -> None:
@@ -240,15 +258,6 @@
                 del self._streams[peer]
             self._tasks.discard(await curio.current_task())
 
-    async def _take(self, peer: str, frames: list[bytes]) -> None:
-        for frame in frames:
-            await self._deliver(peer, self._codec.decode(frame))
-
-    async def send(self, peer: str, message: Any) -> bool:
-        """Send ``message``; return False if ``peer`` isn't connected."""
-        stream = self._streams.get(peer)
-        return stream is not None and await stream.write(self._codec.encode(message))
-
     async def close(self) -> None:
         """Close the listener and all connections."""
         await self._accepting.cancel()
@@ -263,7 +272,7 @@
     return frame.decode()
 
 
-class StreamClients:
+class StreamClients(_Peers):
     """One connection to each listening peer, opened again whenever it ends."""
 
     def __init__(
@@ -275,11 +284,7 @@
         limits: StreamLimits | None = None,
     ) -> None:
         self._name = name
-        self._codec = codec
-        self._deliver = deliver
-        self._report = report
-        self._limits = limits or StreamLimits()
-        self._streams: dict[str, _Stream] = {}
+        super().__init__(codec, deliver, report, limits or StreamLimits())
         self._tasks: dict[str, curio.Task] = {}
         self._addresses: dict[str, str] = {}
 
@@ -347,15 +352,6 @@
         self._report(peer, await stream.run(lambda frames: self._take(peer, frames)))
         return ""
 
-    async def _take(self, peer: str, frames: list[bytes]) -> None:
-        for frame in frames:
-            await self._deliver(peer, self._codec.decode(frame))
-
-    async def send(self, peer: str, message: Any) -> bool:
-        """Send ``message``; return False if ``peer`` isn't connected."""
-        stream = self._streams.get(peer)
-        return stream is not None and await stream.write(self._codec.encode(message))
-
     async def close(self) -> None:
         """Close all connections."""
         for peer in list(self._tasks):
