Give the submission path's transport its typed messages back, and name limits of streams

Cause: the codec parameter of transport served the job path alone, which left ZeroMQ; stream had the same type a second time.

--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -26,9 +26,11 @@
 _LENGTH = struct.Struct(">I")
 _READ_BYTES = 65_536
 _NAME_BYTES = 256
+"""Longest name: several times that of a VM with an incarnation."""
 _NAME_WAIT_S = 5.0
 """Time for a new connection to name itself; a healthy one does at once."""
 _ACCEPT_PAUSE_S = 0.02
+"""Pause after no connection could be accepted, as without a free descriptor: one tick."""
 
 Deliver = Callable[[str, Any], Awaitable[None]]
 """Called with the peer's name and its message."""
@@ -49,7 +51,10 @@
     """Bounds of connections. Times are in milliseconds.
 
     ``pending_bytes`` may wait for a peer that doesn't read; beyond that its connection is closed.
-    The kernel drops a connection after ``silence_ms`` without an answer to its probes.
+    The kernel drops a connection after ``silence_ms`` without an answer to its probes; sessions
+    notice silence sooner, so this only clears away connections whose peer is gone. The bound on
+    frames is far above a job's longest specification, that on connections half of the descriptors
+    of an ordinary entry.
     """
 
     frame_bytes: int = 4 * 1024 * 1024
--- a/snipewell/transport.py
+++ b/snipewell/transport.py
@@ -15,32 +15,19 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import curio
 import zmq
 from curio.traps import _read_wait
 
 from .ids import AgentId, Incarnation
-from .message import MessageError, decode, encode
+from .message import AnyMessage, Message, MessageError, decode, encode
 
-Deliver = Callable[[str, Any], Awaitable[None] | None]
+Deliver = Callable[[str, AnyMessage], Awaitable[None] | None]
 """Called by the task that owns the socket with the sender's identity and its message."""
-Undelivered = Callable[[str, Any], None]
+Undelivered = Callable[[str, Message], None]
 """Called with a peer's identity and a message that ZeroMQ did not accept for it."""
 
-
-@dataclass(frozen=True, slots=True)
-class Codec:
-    """How messages are turned into bytes; ``decode`` raises MessageError."""
-
-    encode: Callable[[Any], bytes]
-    decode: Callable[[bytes], Any]
-
-
-SUBMISSION_CODEC = Codec(encode, decode)
-"""The messages of the submission path."""
-
 _MAX_ROUTES = 65_536
 """Peers whose latest connection a router remembers; one that speaks again is learnt again."""
 _BATCH = 256
@@ -134,14 +121,13 @@
     undelivered: Undelivered | None
     limits: TransportLimits
     counters: TransportCounters
-    codec: Codec
     routes: _Routes = field(default_factory=_Routes)
-    outbox: deque[tuple[str, Any]] = field(default_factory=deque)
+    outbox: deque[tuple[str, Message]] = field(default_factory=deque)
     wake: curio.Event = field(default_factory=curio.Event)
     armed: curio.Event = field(default_factory=curio.Event)
     task: curio.Task | None = None
 
-    async def put(self, peer: str, message: Any) -> bool:
+    async def put(self, peer: str, message: Message) -> bool:
         """Queue ``message``; return False if the queue is full."""
         if len(self.outbox) >= self.limits.queue_messages:
             self.counters.undelivered += 1
@@ -187,8 +173,8 @@
             await self._receive()
         return True
 
-    def _send(self, peer: str, message: Any) -> None:
-        frames = [self.codec.encode(message)]
+    def _send(self, peer: str, message: Message) -> None:
+        frames = [encode(message)]
         if not self.peer:
             frames.insert(0, self.routes.find(peer).encode())
         try:
@@ -212,7 +198,7 @@
             if len(frames) != (1 if self.peer else 2):
                 raise MessageError(f"{len(frames)} frames")
             peer = self.peer or self.routes.learn(frames[0].decode())
-            message = self.codec.decode(frames[-1])
+            message = decode(frames[-1])
         except (MessageError, UnicodeDecodeError):
             self.counters.malformed += 1
             return
@@ -261,7 +247,6 @@
         undelivered: Undelivered | None = None,
         limits: TransportLimits | None = None,
         curve: CurveKeys | None = None,
-        codec: Codec = SUBMISSION_CODEC,
     ) -> None:
         """Bind to ``address``, ``ip:port`` with port 0 for a free one.
 
@@ -281,13 +266,13 @@
             raise
         self.address = socket.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
         """The ``ip:port`` bound."""
-        self._owner = _Owner(socket, "", deliver, undelivered, limits, self.counters, codec)
+        self._owner = _Owner(socket, "", deliver, undelivered, limits, self.counters)
 
     async def start(self) -> None:
         """Start the task that owns the socket."""
         await self._owner.start()
 
-    async def send(self, peer: str, message: Any) -> bool:
+    async def send(self, peer: str, message: Message) -> bool:
         """Queue ``message`` for ``peer``; return False if the queue is full.
 
         A peer that is not connected is reported to the ``undelivered`` callback.
@@ -309,7 +294,6 @@
         deliver: Deliver,
         undelivered: Undelivered | None = None,
         limits: TransportLimits | None = None,
-        codec: Codec = SUBMISSION_CODEC,
     ) -> None:
         self.counters = TransportCounters()
         self._context = context
@@ -317,7 +301,6 @@
         self._deliver = deliver
         self._undelivered = undelivered
         self._limits = limits or TransportLimits()
-        self._codec = codec
         self._opened = 0
         self._owners: dict[str, _Owner] = {}
         self._addresses: dict[str, tuple[str, CurveKeys | None]] = {}
@@ -352,15 +335,7 @@
         except zmq.ZMQError:
             socket.close(linger=0)
             raise
-        owner = _Owner(
-            socket,
-            peer,
-            self._deliver,
-            self._undelivered,
-            self._limits,
-            self.counters,
-            self._codec,
-        )
+        owner = _Owner(socket, peer, self._deliver, self._undelivered, self._limits, self.counters)
         self._owners[peer] = owner
         self._addresses[peer] = (address, curve)
         await owner.start()
@@ -384,7 +359,7 @@
             await self.disconnect(peer)
             await self.connect(peer, address, curve)
 
-    async def send(self, peer: str, message: Any) -> bool:
+    async def send(self, peer: str, message: Message) -> bool:
         """Queue ``message`` for ``peer``; return False without a socket or if its queue is full.
 
         A peer that can't be reached is reported to the ``undelivered`` callback.
