Save system calls: skip idle polls, keep sockets registered, write frames together

Change: a selector that skips polls without a wait between cycles of ready tasks and leaves sockets in the system's set; reads that wait first; one write for all frames to a peer.

--- a/snipewell/client.py
+++ b/snipewell/client.py
@@ -18,6 +18,7 @@
 
 from .keepalive import enable_keepalive
 from .outcome import SnipewellError, Step
+from .reading import read_when_ready
 from .web import Request, Response
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -105,7 +106,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._sock.recv(_READ_BYTES))
+                self._http.receive_data(await read_when_ready(self._sock, _READ_BYTES))
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise _BrokenError("the peer closed the connection without an answer")
             else:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -146,10 +146,13 @@
                 self._hold_outstanding = True
                 await curio.spawn(self._hold, hold, True, daemon=True)
         effects, self._core.effects[:] = list(self._core.effects), []
+        frames = [
+            (effect.peer, effect.frame) for effect in effects if isinstance(effect, SendFrame)
+        ]
+        if frames:
+            await self._connections.send_all(frames)
         for effect in effects:
             match effect:
-                case SendFrame():
-                    await self._connections.send(effect.peer, effect.frame)
                 case CallStart():
                     await curio.spawn(self._start, effect, daemon=True)
                 case CallStop():
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -160,11 +160,13 @@
         """Carry out the effects of the core."""
         self._core.place(self._clock.now_ms())
         effects, self._core.effects[:] = list(self._core.effects), []
+        frames = [
+            (effect.peer, effect.frame) for effect in effects if isinstance(effect, SendAgent)
+        ]
+        if frames and self._agents is not None:
+            await self._agents.send_all(frames)
         for effect in effects:
             match effect:
-                case SendAgent():
-                    if self._agents is not None:
-                        await self._agents.send(effect.peer, effect.frame)
                 case Answer():
                     reply = self._replies.get(effect.request)
                     if reply is not None:
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -13,6 +13,7 @@
 
 from ..errors import SettingsError
 from ..listener import open_listener
+from ..selector import LazySelector
 from .boot import BootSettings, read_boot_settings
 
 METRICS_PORT = 9464
@@ -51,7 +52,14 @@
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
     entry = JobEntry(settings, store, OPERATOR_KEYS, clock, Random(), log, buffer)
     frontend = Frontend(entry)
-    curio.run(entry.run, frontend.handle, frontend.handle_readiness, CLIENT_LIMITS, listener)
+    curio.run(
+        entry.run,
+        frontend.handle,
+        frontend.handle_readiness,
+        CLIENT_LIMITS,
+        listener,
+        selector=LazySelector(),
+    )
 
 
 def _run_agent(boot: BootSettings, listener: socket.socket) -> None:
@@ -79,7 +87,8 @@
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
     upstream = UpstreamClient()
     agent = JobAgent(settings, store, ZONE_KEYS, upstream, clock, Random(), log, buffer)
-    curio.run(agent.run, Registrar(agent, log).handle, listener)
+    registrar = Registrar(agent, log)
+    curio.run(agent.run, registrar.handle, listener, selector=LazySelector())
 
 
 def main() -> None:
--- a/snipewell/server.py
+++ b/snipewell/server.py
@@ -20,6 +20,7 @@
 from .keepalive import enable_keepalive
 from .listener import open_listener
 from .outcome import Invalid, Step, Unknown
+from .reading import read_when_ready
 from .web import Request, Response
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -261,7 +262,7 @@
         self.idle = True
         try:
             data = await curio.timeout_after(
-                self.limits.idle_timeout_ms / 1000, self.sock.recv, _READ_BYTES
+                self.limits.idle_timeout_ms / 1000, read_when_ready, self.sock, _READ_BYTES
             )
         except curio.TaskTimeout:
             return False
@@ -363,7 +364,7 @@
         buffered = 0
         try:
             while buffered < _PIPELINED_BYTES:
-                data = await self.sock.recv(_READ_BYTES)
+                data = await read_when_ready(self.sock, _READ_BYTES)
                 if not data:
                     break
                 buffered += len(data)
--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -3,8 +3,8 @@
 An entry listens. Each agent connects to every entry and sends its name in the first frame. A frame
 is its length in four bytes, followed by its content. Delivery is at most once and not guaranteed;
 the sessions in `channel` number frames and retransmit them. Each connection has its own reading
-task. Frames are written to the socket at once; bytes that the kernel doesn't accept are buffered
-up to a limit.
+task. Frames are collected and written to the socket together, when the caller has sent all frames
+that it has; bytes that the kernel doesn't accept are buffered up to a limit.
 
 The submission path uses ZeroMQ instead (`transport`). ZeroMQ does its I/O in a thread of its own.
 For each message, this thread and the process wake each other, which took most of a daemon's system
@@ -15,7 +15,7 @@
 
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +24,7 @@
 
 from .errors import MessageError
 from .keepalive import enable_keepalive
+from .reading import read_when_ready
 
 _LENGTH = struct.Struct(">I")
 _READ_BYTES = 65_536
@@ -111,19 +112,22 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(sock, limits.keepalive_timeout_ms)
 
-    async def write(self, content: bytes) -> bool:
-        """Send a frame, or buffer it until the peer reads; return False if the connection ended."""
+    def write(self, content: bytes) -> bool:
+        """Buffer a frame until `flush`; return False if the connection ended."""
         if not self._open:
             return False
         self._pending += _LENGTH.pack(len(content)) + content
-        if not self._blocked.is_set():
-            self._send_pending()
-            if self._pending:
-                await self._blocked.set()
         if len(self._pending) > self._limits.pending_bytes:
             self.abort()
         return self._open
 
+    async def flush(self) -> None:
+        """Write the buffered frames to the socket; what it doesn't accept follows later."""
+        if self._pending and not self._blocked.is_set():
+            self._send_pending()
+            if self._pending:
+                await self._blocked.set()
+
     def _send_pending(self) -> None:
         """Write as many buffered bytes to the socket as the kernel accepts without blocking."""
         try:
@@ -164,7 +168,7 @@
         Raise EOFError if the peer closed the connection, OSError if it failed, and MessageError for
         a frame that is too long.
         """
-        data = await self._sock.recv(_READ_BYTES)
+        data = await read_when_ready(self._sock, _READ_BYTES)
         if not data:
             raise EOFError("the peer closed the connection")
         return self._buffer.feed(data)
@@ -203,8 +207,24 @@
 
     async def send(self, peer: str, message: Any) -> bool:
         """Send ``message`` to ``peer``; return False if it isn't connected."""
-        stream = self._streams.get(peer)
-        return stream is not None and await stream.write(self._codec.encode(message))
+        return await self.send_all([(peer, message)])
+
+    async def send_all(self, messages: Iterable[tuple[str, Any]]) -> bool:
+        """Send messages to their peers, with one write for each peer.
+
+        Return False if a peer isn't connected; the others get their messages.
+        """
+        written: dict[str, _Stream] = {}
+        complete = True
+        for peer, message in messages:
+            stream = self._streams.get(peer)
+            if stream is not None and stream.write(self._codec.encode(message)):
+                written[peer] = stream
+            else:
+                complete = False
+        for stream in written.values():
+            await stream.flush()
+        return complete
 
 
 class StreamServer(_Connections):
@@ -371,7 +391,8 @@
             raise
         stream = _Stream(sock, self._limits)
         self._streams[peer] = stream
-        await stream.write(self._name.encode())
+        stream.write(self._name.encode())
+        await stream.flush()
         self._report(peer, await stream.run(lambda frames: self._deliver_frames(peer, frames)))
         return ""
 
