Give each agent sessions with a subset of the entries

Change: each agent selects eight entries by rendezvous hashing, half of them in its own zone; entries that don't respond are substituted; a session is closed on purpose only without runs and with a goodbye. Session numbers no longer start again when an entry is removed and comes back, since the entry ignores lower numbers. Timer checks are 50 ms apart while nothing waits for capacity.

--- a/snipewell/daemon.py
+++ b/snipewell/daemon.py
@@ -23,6 +23,9 @@
 
 TICK_MS = 20.0
 """Interval of the timer checks; short against the 60 ms that clients allow for dispatch."""
+RELAXED_TICK_MS = 50.0
+"""Interval of the timer checks while nothing waits for free capacity: short against heartbeats and
+timeouts, which are then all that is due."""
 IDLE_TICK_MS = 100.0
 """Interval of the timer checks in an idle process, where only heartbeats and timeouts of peers are
 due."""
@@ -46,6 +49,8 @@
         self._clock = clock
         self._perform = perform
         self._inbox = Inbox()
+        self._performed: list[curio.Event] = []
+        """Callers of `call` to wake after the effects of this batch have been carried out."""
 
     async def put(self, method: Callable[..., Any], *args: Any) -> None:
         """Queue a call of ``method(*args, now_ms)`` for the task that owns the core."""
@@ -57,14 +62,24 @@
             for method, args in await self._inbox.take():
                 method(*args, self._clock.now_ms())
             await self._perform()
+            performed, self._performed = self._performed, []
+            for done in performed:
+                await done.set()
+
+    async def call(self, method: Callable[..., Any], *args: Any) -> None:
+        """Queue a call like `put`, and wait until its effects have been carried out."""
+        done = curio.Event()
+        await self._inbox.put(method, *args)
+        await self._inbox.put(lambda _now_ms: self._performed.append(done))
+        await done.wait()
 
     async def run_ticks(
-        self, tick: Callable[[float], None], is_idle: Callable[[], bool] = lambda: False
+        self, tick: Callable[[float], None], interval_ms: Callable[[], float]
     ) -> None:
-        """Queue a call of ``tick`` every ``TICK_MS``, or ``IDLE_TICK_MS`` while ``is_idle()``."""
+        """Queue a call of ``tick`` every ``interval_ms()``; runs until the process ends."""
         while True:
             await self.put(tick)
-            await curio.sleep((IDLE_TICK_MS if is_idle() else TICK_MS) / 1000)
+            await curio.sleep(interval_ms() / 1000)
 
 
 async def flush_log(buffer: LogBuffer) -> None:
--- a/snipewell/directory.py
+++ b/snipewell/directory.py
@@ -1,7 +1,8 @@
 """Discovery of the job entries by the job agents: entries register in the store under a lease.
 
-Agents connect to every registered entry. An entry whose registration lapsed, for instance during an
-outage of the store, is retained for a while, because its agents may still be connected to it.
+Agents connect to some of the registered entries (`subset`). An entry whose registration lapsed, for
+instance during an outage of the store, is retained for a while, because its agents may still be
+connected to it.
 """
 
 from __future__ import annotations
@@ -24,11 +25,15 @@
 
 
 class EntryAddress(msgspec.Struct, frozen=True):
-    """An entry's registration: its name, and the ``ip:port`` where agents connect."""
+    """An entry's registration: its name, and the ``ip:port`` where agents connect.
+
+    ``zone`` is empty in a registration that an earlier version wrote.
+    """
 
     entry: str
     address: str
     incarnation: str
+    zone: str = ""
 
 
 def encode_address(address: EntryAddress) -> bytes:
@@ -43,7 +48,7 @@
 
 
 class Directory:
-    """The entries to which an agent maintains connections."""
+    """The entries to which an agent may connect."""
 
     def __init__(self) -> None:
         self._registrations: dict[str, _Registration] = {}
@@ -79,7 +84,7 @@
             registration.absent_since_ms = now_ms
 
     def entries(self, now_ms: float) -> dict[str, EntryAddress]:
-        """Return the entries to connect to, by name; remove those absent for too long."""
+        """Return the known entries, by name; remove those absent for too long."""
         for key, registration in list(self._registrations.items()):
             absent = registration.absent_since_ms
             if absent is not None and now_ms - absent >= ABSENT_RETENTION_MS:
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -83,13 +83,14 @@
 class _Peer:
     """State for one entry; ``channel`` is None while runs of the last session are being stopped.
 
-    ``reported`` is the last report sent, ``sessions`` the number of sessions opened so far.
+    ``added_ms`` is the time when the entry was added, ``reported`` the last report sent.
     """
 
+    added_ms: float
+
     channel: Channel[AgentBody, EntryBody] | None = None
     reported: UpstreamReport = NO_UPSTREAM
     reported_ms: float = float("-inf")
-    sessions: int = 0
 
 
 class EntrySessions:
@@ -115,29 +116,71 @@
         self._offers = Offers()
         self._peers: dict[str, _Peer] = {}
         self._silent: list[str] = []
+        self._opened = 0
+        """Number of sessions opened so far. It is common to all entries, because an entry that was
+        removed and comes back ignores a session with a lower number than it has seen."""
 
     @property
     def open_count(self) -> int:
         """Number of open sessions."""
         return sum(state.channel is not None for state in self._peers.values())
 
+    @property
+    def has_demand(self) -> bool:
+        """Whether an entry has waiting tasks, so that free resources are offered."""
+        return self._offers.has_demand
+
+    @property
+    def has_timed_out(self) -> bool:
+        """Whether `take_timed_out` has an entry to return."""
+        return bool(self._silent)
+
     def connect(self, peer: str, now_ms: float) -> None:
         """Add the entry ``peer`` and open a session with it; no effect on a present entry."""
         if peer not in self._peers:
-            self._peers[peer] = _Peer()
+            self._peers[peer] = _Peer(now_ms)
             self._open(peer, now_ms)
 
     def disconnect(self, peer: str, now_ms: float) -> None:
         """Remove an entry that left the directory, and end its session."""
         if peer in self._peers:
-            self._end(peer, "the entry has gone", now_ms)
+            self._end(peer, "the entry was removed", now_ms)
             del self._peers[peer]
 
+    def leave(self, peer: str, now_ms: float) -> None:
+        """End the session with an entry on purpose, and remove the entry.
+
+        The caller makes sure that no run of the entry is in progress. An order that is on its way
+        belongs to an ended session when it arrives, so it is ignored and the entry may place its
+        task elsewhere as soon as it has received the goodbye.
+        """
+        state = self._peers.get(peer)
+        if state is not None and state.channel is not None:
+            self._send(peer, Goodbye(), now_ms)
+        self.disconnect(peer, now_ms)
+
+    def peers(self) -> set[str]:
+        """Return the entries that were added and not removed."""
+        return set(self._peers)
+
     def is_responsive(self, peer: str, now_ms: float) -> bool:
         """Return whether the entry ``peer`` sent a frame within the session timeout."""
         state = self._peers.get(peer)
         channel = state.channel if state is not None else None
-        return channel is not None and now_ms - channel.last_seen_ms < SESSION_TIMEOUT_MS
+        return (
+            channel is not None
+            and channel.is_established
+            and now_ms - channel.last_seen_ms < SESSION_TIMEOUT_MS
+        )
+
+    def find_failed(self, now_ms: float) -> set[str]:
+        """Return the entries that don't respond, apart from those that were just added."""
+        return {
+            peer
+            for peer, state in self._peers.items()
+            if now_ms - state.added_ms >= SESSION_TIMEOUT_MS
+            and not self.is_responsive(peer, now_ms)
+        }
 
     def take_timed_out(self) -> list[str]:
         """Return and clear the entries whose session timed out, so their connection is replaced."""
@@ -146,8 +189,8 @@
 
     def _open(self, peer: str, now_ms: float) -> None:
         state = self._peers[peer]
-        state.sessions += 1
-        state.channel = Channel(name_session(self._incarnation, state.sessions), now_ms)
+        self._opened += 1
+        state.channel = Channel(name_session(self._incarnation, self._opened), now_ms)
         state.reported = self._describe(now_ms)
         state.reported_ms = now_ms
         self._send(peer, Hello(self._agent, state.reported), now_ms)
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -337,6 +337,11 @@
 
     # Orders of entries.
 
+    def leave_entry(self, peer: str, now_ms: float) -> None:
+        """End the session with the entry ``peer`` unless it has runs here, which go first."""
+        if not any(run.peer == peer for run in self._runs.values()):
+            self.entries.leave(peer, now_ms)
+
     def drain(self, now_ms: float) -> None:
         """Reject further starts; runs in progress continue to their end."""
         self._draining = True
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Protocol
@@ -12,6 +12,8 @@
 
 from .clock import Clock
 from .daemon import (
+    IDLE_TICK_MS,
+    RELAXED_TICK_MS,
     STOP_RESERVE_MS,
     TICK_MS,
     CoreTask,
@@ -21,7 +23,7 @@
     wait_for_stop,
 )
 from .desiredstate import DesiredState, OperatorKeys
-from .directory import JOB_ENTRIES_PREFIX, Directory
+from .directory import JOB_ENTRIES_PREFIX, Directory, EntryAddress
 from .entrysession import SendFrame
 from .executor import HOLD_TIMEOUT_MARGIN_MS, ORDER_TIMEOUT_MS, Executor, LogRecord
 from .ids import new_incarnation
@@ -33,6 +35,7 @@
 from .store import Changes, Listing, Watchable
 from .storetask import watch_prefix
 from .stream import Codec, StreamClients
+from .subset import find_surplus, select_entries
 from .upstreamcall import CallHold, CallStart, CallStop, RunLists, StartResult, Upstream
 from .web import Request, Response
 
@@ -40,8 +43,9 @@
 HOLD_RETRY_MS = 40.0
 """Delay before the next regular ``hold`` call after a failed ``hold`` call; without it, calls to an
 unreachable upstream would follow one another without a pause."""
-RECONCILE_INTERVAL_MS = 200.0
-"""Longest interval between two comparisons of the connections with the registered entries."""
+RECONCILE_INTERVAL_MS = 500.0
+"""Longest interval between two comparisons of the connections with the registered entries; each
+change of the registrations and each session that timed out leads to one at once."""
 
 
 class UpstreamCalls(Protocol):
@@ -130,6 +134,7 @@
     def _declare_metrics(self) -> None:
         core, counters = self._core, self._core.counters
         self.metrics.gauge("runs", lambda: core.running)
+        self.metrics.gauge("sessions", lambda: core.entries.open_count)
         self.metrics.gauge("starts", lambda: counters.started)
         self.metrics.gauge("rejected_starts", lambda: counters.rejected)
         self.metrics.gauge("unclear_starts", lambda: counters.indeterminate)
@@ -137,6 +142,11 @@
         self.metrics.gauge("silent_owners", lambda: counters.timed_out_sessions)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
+    def _tick_interval_ms(self) -> float:
+        if not self._core.running:
+            return IDLE_TICK_MS
+        return TICK_MS if self._core.entries.has_demand else RELAXED_TICK_MS
+
     async def _perform(self) -> None:
         """Carry out the effects of the core, and renew the lease of the runs at the upstream."""
         now_ms = self._clock.now_ms()
@@ -161,6 +171,8 @@
                     await curio.spawn(self._hold, effect, False, daemon=True)
                 case LogRecord():
                     self._log.info("executor", effect.text, **effect.fields)
+        if self._core.entries.has_timed_out:
+            await self._entries_changed.set()
 
     async def _start(self, call: CallStart) -> None:
         began_ms = self._clock.now_ms()
@@ -214,27 +226,54 @@
     async def _reconcile_connections(self) -> None:
         """Reconcile the connections and sessions with the registered entries."""
         while True:
-            entries = self._directory.entries(self._clock.now_ms())
-            for name, entry in entries.items():
-                if self._connections.peers().get(name) == entry.address:
-                    continue
-                try:
-                    await self._connections.connect(name, entry.address)
-                except ValueError as error:
-                    self._log.error("entries", "invalid address", entry=name, reason=str(error))
-                    continue
-                self._log.info("entries", "connecting", entry=name, address=entry.address)
-                await self._task.put(self._core.entries.connect, name)
-            for name in self._connections.peers().keys() - entries.keys():
-                if not self._core.entries.is_responsive(name, self._clock.now_ms()):
-                    self._log.info("entries", "entry removed", entry=name)
-                    await self._task.put(self._core.entries.disconnect, name)
-                    await self._connections.disconnect(name)
+            now_ms = self._clock.now_ms()
+            entries = self._directory.entries(now_ms)
+            subset = select_entries(
+                self._settings.name,
+                self._settings.zone,
+                {name: entry.zone for name, entry in entries.items()},
+                self._core.entries.find_failed(now_ms),
+            )
+            for name in sorted(subset):
+                await self._connect(entries[name])
+            await self._leave_surplus(entries, subset)
+            for name in self._connections.peers().keys() - self._core.entries.peers():
+                await self._connections.disconnect(name)
             for name in self._core.entries.take_timed_out():
                 await self._connections.replace(name)
             self._entries_changed.clear()
             await curio.ignore_after(RECONCILE_INTERVAL_MS / 1000, self._entries_changed.wait)
 
+    async def _connect(self, entry: EntryAddress) -> None:
+        """Keep a connection to ``entry``, and a session on it."""
+        name = entry.entry
+        if self._connections.peers().get(name) == entry.address:
+            return
+        try:
+            await self._connections.connect(name, entry.address)
+        except ValueError as error:
+            self._log.error("entries", "invalid address", entry=name, reason=str(error))
+            return
+        self._log.info("entries", "connecting", entry=name, address=entry.address)
+        await self._task.call(self._core.entries.connect, name)
+
+    async def _leave_surplus(
+        self, entries: Mapping[str, EntryAddress], subset: Collection[str]
+    ) -> None:
+        """Close the sessions with entries that have gone or that left the subset."""
+        now_ms = self._clock.now_ms()
+        sessions = self._core.entries
+        connected = sessions.peers()
+        responsive = {name for name in connected if sessions.is_responsive(name, now_ms)}
+        for name in sorted(connected - entries.keys() - responsive):
+            self._log.info("entries", "entry removed", entry=name)
+            await self._task.call(sessions.disconnect, name)
+        # An entry that lost its registration alone, during an outage of the store, stays.
+        registered = connected & entries.keys()
+        for name in find_surplus(registered, subset, responsive):
+            self._log.info("entries", "entry left the subset", entry=name, sessions=len(connected))
+            await self._task.call(self._core.leave_entry, name)
+
     async def run(
         self,
         handle_registration: Callable[[Request], Awaitable[Response]],
@@ -251,7 +290,7 @@
         tasks = [
             await curio.spawn(self._task.run, daemon=True),
             await curio.spawn(
-                self._task.run_ticks, self._core.tick, lambda: not self._core.running, daemon=True
+                self._task.run_ticks, self._core.tick, self._tick_interval_ms, daemon=True
             ),
             await curio.spawn(flush_log, self._buffer, daemon=True),
             await curio.spawn(self._reconcile_connections, daemon=True),
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -12,7 +12,9 @@
 from .agentsession import SendAgent
 from .clock import Clock
 from .daemon import (
+    RELAXED_TICK_MS,
     STOP_RESERVE_MS,
+    TICK_MS,
     CoreTask,
     flush_log,
     freeze_memory,
@@ -156,6 +158,9 @@
         self.metrics.gauge("lost_runs", lambda: counters.lost_runs)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
+    def _tick_interval_ms(self) -> float:
+        return TICK_MS if self._core.waiting_tasks else RELAXED_TICK_MS
+
     async def _perform(self) -> None:
         """Carry out the effects of the core."""
         self._core.place(self._clock.now_ms())
@@ -212,13 +217,15 @@
             self._on_frame,
             self._on_connection_end,
         )
-        address = EntryAddress(settings.name, self._agents.address, incarnation)
+        address = EntryAddress(settings.name, self._agents.address, incarnation, settings.zone)
         registration = Registration(self._store, address, self._clock, self._log, self._rng)
         clients = HttpServer(handle, client_limits, self._on_error)
         readiness = HttpServer(handle_readiness, ServerLimits(connections=64))
         tasks = [
             await curio.spawn(self._task.run, daemon=True),
-            await curio.spawn(self._task.run_ticks, self._core.tick, daemon=True),
+            await curio.spawn(
+                self._task.run_ticks, self._core.tick, self._tick_interval_ms, daemon=True
+            ),
             await curio.spawn(flush_log, self._buffer, daemon=True),
             await curio.spawn(
                 watch_prefix,
--- a/snipewell/log.py
+++ b/snipewell/log.py
@@ -9,11 +9,13 @@
 import logging
 import sys
 from collections.abc import Callable
-from typing import IO
+from typing import IO, TYPE_CHECKING
 
 from eliot import FileDestination, log_message
 
-from .settings import LogSettings
+if TYPE_CHECKING:
+    # The daemons of the job path have no such settings and don't load their parser.
+    from .settings import LogSettings
 
 Destination = Callable[[dict[str, object]], None]
 # curio logs a warning for each operation that completes just after its timeout, which is no fault.
--- a/snipewell/offers.py
+++ b/snipewell/offers.py
@@ -36,6 +36,11 @@
         demand."""
         self._offers: list[_Offer] = []
 
+    @property
+    def has_demand(self) -> bool:
+        """Whether any entry has demand."""
+        return bool(self._demand)
+
     def set_demand(self, peer: str, cpu_milli: int) -> None:
         """Set the demand of the entry ``peer`` to ``cpu_milli`` thousandths of a core."""
         self._offered.pop(peer, None)
--- /dev/null
+++ b/snipewell/subset.py
@@ -0,0 +1,91 @@
+"""Selection of the entries that an agent opens sessions with, without any I/O.
+
+If every agent had a session with every entry, the cost of heartbeats and reports would grow with
+the product of their numbers. Each agent therefore selects a subset of fixed size by rendezvous
+hashing: all entries get about the same number of agents, and when an entry comes or goes, each
+agent changes at most one session.
+
+Half of the subset is in the agent's own availability zone, where frames are fast and cost nothing.
+The rest is spread evenly over the other zones, so that an entry keeps enough upstreams when one
+zone is lost or out of service.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping, Sequence
+
+import xxhash
+
+SUBSET_SIZE = 8
+"""Number of entries that an agent has sessions with. If a third of all entries fail at once, fewer
+than two of 10,000 agents lose their whole subset and have to wait for substitutes."""
+LOCAL_SHARE = 0.5
+"""Share of the subset in the agent's own availability zone."""
+MAX_SESSIONS = 2 * SUBSET_SIZE
+"""Upper bound of the sessions of an agent, including those to entries that have left the subset."""
+
+
+def select_entries(
+    agent: str, zone: str, entry_zones: Mapping[str, str], failed: Collection[str] = ()
+) -> set[str]:
+    """Return the names of the entries that the agent ``agent`` in ``zone`` connects to.
+
+    ``entry_zones`` holds the availability zone of each known entry. All are selected if there are
+    no more than `SUBSET_SIZE`. For example, with 35 entries in five zones the result has four
+    entries of ``zone`` and one of each other zone.
+
+    ``failed`` holds the entries that don't respond. They stay in the subset, since they may come
+    back, and substitutes are added for them: the entries that would be selected without them.
+    """
+    subset = _select(agent, zone, entry_zones)
+    if subset.isdisjoint(failed):
+        return subset
+    working = {entry: name for entry, name in entry_zones.items() if entry not in failed}
+    return subset | _select(agent, zone, working)
+
+
+def _select(agent: str, zone: str, entry_zones: Mapping[str, str]) -> set[str]:
+    if len(entry_zones) <= SUBSET_SIZE:
+        return set(entry_zones)
+    ranked = sorted(entry_zones, key=lambda entry: _weigh(agent, entry), reverse=True)
+    local = [entry for entry in ranked if entry_zones[entry] == zone]
+    selected = local[: round(LOCAL_SHARE * SUBSET_SIZE)]
+    remote = [entry for entry in ranked if entry_zones[entry] != zone]
+    places = SUBSET_SIZE - len(selected)
+    # Rounded up, so that the places suffice if the number of zones doesn't divide them.
+    zone_places = -(-places // max(1, len({entry_zones[entry] for entry in remote})))
+    selected += _limit_per_zone(remote, entry_zones, zone_places)[:places]
+    # Zones with few entries leave places free.
+    rest = [entry for entry in ranked if entry not in selected]
+    return {*selected, *rest[: SUBSET_SIZE - len(selected)]}
+
+
+def _weigh(agent: str, entry: str) -> int:
+    return int(xxhash.xxh64_intdigest(f"{agent}\0{entry}".encode()))
+
+
+def _limit_per_zone(ranked: Sequence[str], zones: Mapping[str, str], limit: int) -> list[str]:
+    """Return the entries of ``ranked`` without those beyond the first ``limit`` of their zone."""
+    counts: dict[str, int] = {}
+    kept = []
+    for entry in ranked:
+        counts[zones[entry]] = counts.get(zones[entry], 0) + 1
+        if counts[zones[entry]] <= limit:
+            kept.append(entry)
+    return kept
+
+
+def find_surplus(
+    connected: Collection[str], subset: Collection[str], responsive: Collection[str]
+) -> list[str]:
+    """Return the connected entries whose sessions should be closed because the subset has changed.
+
+    Entries outside ``subset`` are kept until as many of the subset are ``responsive`` as it has
+    places, so that the agent isn't left without an entry while several fail; beyond `MAX_SESSIONS`
+    they are closed in any case.
+    """
+    outside = sorted(entry for entry in connected if entry not in subset)
+    working = sum(entry in responsive for entry in subset)
+    if working >= min(SUBSET_SIZE, len(subset)):
+        return outside
+    return outside[: max(0, len(connected) - MAX_SESSIONS)]
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from snipewell.agentsession import SendAgent
-from snipewell.daemon import TICK_MS
+from snipewell.daemon import RELAXED_TICK_MS
 from snipewell.entrysession import SendFrame
 from snipewell.executor import Executor
 from snipewell.ids import ServiceName, UpstreamId
@@ -206,6 +206,17 @@
             self.core.entries.connect(entry.name, self.sim.now)
         self.core.on_heartbeat(self.upstream.describe(), self.sim.now)
 
+    def move_session(self, entry: SimEntry, rejoin_after_ms: float) -> None:
+        """Leave ``entry`` as if it had left the subset, and connect to it again later."""
+        incarnation = self.incarnation
+        self.run_or_defer(lambda: self.core.leave_entry(entry.name, self.sim.now))
+        self.sim.after(
+            rejoin_after_ms,
+            lambda: self.run_in_incarnation(
+                incarnation, lambda: self.core.entries.connect(entry.name, self.sim.now)
+            ),
+        )
+
     def run_or_defer(self, work: Callable[[], None]) -> None:
         """Run ``work`` now, or after the process has resumed if it is paused."""
         if self.paused:
@@ -543,7 +554,8 @@
                 heapq.heappop(self.heap)[2]()
             for upstream in self.upstreams:
                 upstream.step(step)
-            if round(self.now) % round(TICK_MS) == 0:
+            # The longest interval of the daemons while there are runs.
+            if round(self.now) % round(RELAXED_TICK_MS) == 0:
                 for entry in self.entries:
                     entry.tick()
                 for agent in self.agents:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from snipewell.channel import Channel
+from snipewell.channel import Channel, session_number
 from snipewell.entrysession import SESSION_TIMEOUT_MS, STOP_RETRY_MS, SendFrame
 from snipewell.executor import IDLE_POLL_MS, STALL_MS, Executor
 from snipewell.ids import UpstreamId
@@ -281,6 +281,53 @@
     assert report.report.upstream == "u1"
 
 
+def test_a_session_closed_on_purpose_says_goodbye_and_ignores_later_orders(
+    harness: ExecutorHarness,
+) -> None:
+    """The entry places its tasks elsewhere, so an order on its way must not start anything."""
+    calls = len(harness.calls)
+    harness.core.leave_entry("entry-1", harness.now)
+    harness.collect_effects()
+    assert isinstance(harness.bodies[-1], Goodbye)
+    harness.send(StartRun("j/0/0", 1, "spec", ResourceVector(1_000, 10), 400.0))
+    assert len(harness.calls) == calls
+    assert harness.core.entries.peers() == set()
+
+
+def test_a_session_with_runs_is_not_closed_on_purpose(harness: ExecutorHarness) -> None:
+    call = harness.start()
+    harness.answer(call)
+    harness.core.leave_entry("entry-1", harness.now)
+    harness.collect_effects()
+    assert harness.core.entries.peers() == {"entry-1"}
+    assert not any(isinstance(body, Goodbye) for body in harness.bodies)
+
+
+def test_a_session_with_an_entry_that_was_removed_has_a_higher_number(
+    harness: ExecutorHarness,
+) -> None:
+    """An entry ignores a session with a lower number than it has seen from the agent."""
+    assert harness.channel is not None
+    before = session_number(harness.channel.session)
+    harness.core.entries.disconnect("entry-1", harness.now)
+    harness.core.entries.connect("entry-1", harness.now)
+    harness.collect_effects()
+    assert session_number(harness.channel.session) > before
+
+
+def test_an_entry_that_does_not_respond_counts_as_failed_only_after_the_session_timeout(
+    harness: ExecutorHarness,
+) -> None:
+    harness.heartbeat()
+    assert harness.channel is not None
+    assert harness.core.entries.find_failed(harness.now) == set()
+    harness.core.entries.connect("entry-2", harness.now)
+    assert harness.core.entries.find_failed(harness.now + SESSION_TIMEOUT_MS - 1) == set()
+    harness.now += SESSION_TIMEOUT_MS
+    harness.core.on_frame("entry-1", harness.channel.send(None, harness.now), harness.now)
+    assert harness.core.entries.find_failed(harness.now) == {"entry-2"}
+
+
 def test_a_restarted_upstream_has_no_runs_and_gets_a_higher_token(harness: ExecutorHarness) -> None:
     """An order to the last incarnation may still be executed by the new one."""
     call = harness.start()
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -113,6 +113,14 @@
         entry.kill()
 
 
+def move_sessions(sim: JobSim, rng: Random) -> None:
+    """Agents leave entries on purpose and come back, as when their subsets change."""
+    for _ in range(12):
+        agent, entry = rng.choice(sim.agents), rng.choice(sim.entries)
+        at, away_ms = rng.uniform(0, 3_000), rng.uniform(5, 2_500)
+        sim.after(at, lambda a=agent, e=entry, d=away_ms: a.move_session(e, d))  # type: ignore[misc]
+
+
 FAULTS: dict[str, Callable[[JobSim, Random], None]] = {
     fault.__name__: fault
     for fault in (
@@ -128,6 +136,7 @@
         crash_upstream,
         hang_upstream,
         kill_all_entries,
+        move_sessions,
     )
 }
 
