Give up the runs of a silent upstream when its lease has run out

Change: after 400 ms without an answer the agent asks for the lists without renewing, reports the upstream as unhealthy and starts nothing. Three tests of it failed before.

--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -62,6 +62,10 @@
 IDLE_POLL_MS = 1_000.0
 """Interval between requests for the lists of an idle upstream, which keep the estimate of its clock
 within 20 ms."""
+UPSTREAM_SILENCE_MS = 400.0
+"""Time without an answer after which the lease is no longer renewed and no task is started: two or
+three calls in a row were lost then. A call without an answer may still have renewed the lease, so
+the runs of an upstream that is gone could never be given up if the renewal went on."""
 STALL_MS = 500.0
 """Shortest time without progress after which a run is stopped as stalled."""
 STALL_SHARE = 0.35
@@ -129,6 +133,9 @@
         self._unhealthy_until_ms = float("-inf")
         self._poll_sent_ms = float("-inf")
         self._answered_ms = float("-inf")
+        self._unanswered_since_ms = float("inf")
+        """Time at which the first call since the last answer of the upstream was sent."""
+        self._silence_noted = False
 
     @property
     def upstream(self) -> Upstream | None:
@@ -189,6 +196,7 @@
         self._acked = 0
         self._ack_due = False
         self._unhealthy_until_ms = float("-inf")
+        self._unanswered_since_ms = float("inf")
         self._poll_runs(now_ms)
 
     def _drop_runs(self, reason: str, now_ms: float) -> None:
@@ -214,8 +222,9 @@
         has_runs = bool(self._runs)
         if not has_runs and not self._ack_due and now_ms - self._answered_ms < IDLE_POLL_MS:
             return None
+        renews = has_runs and not self._is_silent(now_ms)
         deadline_ms = (
-            self._lease.request_deadline_ms(self._max_lease_ms, now_ms) if has_runs else None
+            self._lease.request_deadline_ms(self._max_lease_ms, now_ms) if renews else None
         )
         wait_ms = HOLD_WAIT_MS if has_runs else 0
         return CallHold(self._upstream, deadline_ms, self._fence, self._acked, wait_ms, now_ms)
@@ -225,8 +234,13 @@
 
         ``runs`` is None if the call failed or got no answer.
         """
-        if runs is None or self._upstream is None or not is_same_incarnation(call, self._upstream):
+        if self._upstream is None or not is_same_incarnation(call, self._upstream):
             return
+        if runs is None:
+            self._unanswered_since_ms = min(self._unanswered_since_ms, call.sent_ms)
+            self.entries.report(now_ms)
+            return
+        self._unanswered_since_ms = float("inf")
         if runs.born_ms is not None and runs.born_ms != self._upstream.born_ms:
             self._on_upstream_restart(runs.born_ms, now_ms)
             return
@@ -252,10 +266,15 @@
 
     def on_hold_fenced(self, call: CallHold, now_ms: float) -> None:
         """Raise the fencing token after the upstream refused ``call`` for a token below its own."""
+        self._unanswered_since_ms = float("inf")
         if call.fence == self._fence and self._upstream is not None:
             self._raise_fence()
             self._poll_runs(now_ms)
 
+    def _is_silent(self, now_ms: float) -> bool:
+        """Return whether the upstream has answered nothing for `UPSTREAM_SILENCE_MS`."""
+        return now_ms - self._unanswered_since_ms >= UPSTREAM_SILENCE_MS
+
     def _raise_fence(self) -> None:
         self._fence += self._fence_step
         self._fence_step *= 2
@@ -385,6 +404,8 @@
             return "the zone is out of service"
         if now_ms < self._unhealthy_until_ms:
             return "the upstream is unhealthy"
+        if self._is_silent(now_ms):
+            return "the upstream doesn't answer"
         if any(task == order.task for task, _ in self._runs):
             return BUSY_TASK
         if not order.resources.fits(self._free()):
@@ -451,6 +472,7 @@
         """
         if clock_ms is not None and call.upstream == self._upstream:
             self._lease.observe(clock_ms, now_ms)
+            self._unanswered_since_ms = float("inf")
         key = (call.task, call.attempt)
         run = self._runs.get(key)
         if run is None or run.state is not RunState.STARTING:
@@ -487,6 +509,7 @@
 
     def _on_unanswered_start(self, run: Run, now_ms: float) -> None:
         self.counters.indeterminate += 1
+        self._unanswered_since_ms = min(self._unanswered_since_ms, run.start_sent_ms)
         run.state = RunState.INDETERMINATE
         if run.fence >= self._fence:
             self._fence += 1
@@ -551,6 +574,15 @@
     def _check_upstream(self, now_ms: float) -> None:
         if self._upstream is None:
             return
+        if self._is_silent(now_ms) is not self._silence_noted:
+            self._silence_noted = not self._silence_noted
+            text = (
+                "upstream silent; lease not renewed"
+                if self._silence_noted
+                else "upstream answers again"
+            )
+            self._note(text, upstream=self._upstream.upstream, runs=len(self._runs))
+            self.entries.report(now_ms)
         needs_poll = not self._reconciled or any(
             run.state is RunState.INDETERMINATE for run in self._runs.values()
         )
@@ -596,7 +628,7 @@
             self._free(),
             list(upstream.labels),
             upstream.draining or self._draining or upstream.zone in self._zones_out,
-            now_ms >= self._unhealthy_until_ms,
+            now_ms >= self._unhealthy_until_ms and not self._is_silent(now_ms),
             self.entries.open_count,
             self._slowness(now_ms),
         )
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -8,7 +8,7 @@
 
 from snipewell.channel import Channel, session_number
 from snipewell.entrysession import SESSION_TIMEOUT_MS, STOP_RETRY_MS, SendFrame
-from snipewell.executor import IDLE_POLL_MS, STALL_MS, Executor
+from snipewell.executor import IDLE_POLL_MS, STALL_MS, UPSTREAM_SILENCE_MS, Executor
 from snipewell.ids import UpstreamId
 from snipewell.job import ResourceVector, RunEnd
 from snipewell.runmessage import (
@@ -328,6 +328,60 @@
     assert harness.core.entries.find_failed(harness.now) == {"entry-2"}
 
 
+def let_holds_fail(harness: ExecutorHarness, for_ms: float) -> None:
+    """Advance the time while the upstream answers nothing and the daemon repeats its calls."""
+    until = harness.now + for_ms
+    while harness.now < until:
+        call = harness.core.next_hold(harness.now)
+        harness.now += 200.0
+        if call is not None:
+            harness.core.on_hold(call, None, harness.now)
+        harness.heartbeat()
+        harness.core.tick(harness.now)
+        harness.collect_effects()
+
+
+def test_the_runs_of_a_dead_upstream_end_although_the_agent_goes_on_calling(
+    harness: ExecutorHarness,
+) -> None:
+    """An unanswered call may renew the lease, so calls that go on doing so keep it in doubt."""
+    harness.answer(harness.start())
+    let_holds_fail(harness, UPSTREAM_SILENCE_MS + 1_000.0 / 0.98 + 400.0)
+    assert [how for _, _, how, _ in harness.ends()] == ["lost"]
+
+
+def test_a_start_that_a_dead_upstream_does_not_answer_ends(harness: ExecutorHarness) -> None:
+    call = harness.start()
+    harness.now += 120.0
+    harness.answer(call, StartResult.UNANSWERED)
+    let_holds_fail(harness, UPSTREAM_SILENCE_MS + 1_000.0 / 0.98 + 400.0)
+    assert [how for _, _, how, _ in harness.ends()] == ["lost"]
+
+
+def test_a_silent_upstream_gets_no_starts_until_it_answers(harness: ExecutorHarness) -> None:
+    """Entries would wait for the lease to expire before they could place the tasks elsewhere."""
+    harness.answer(harness.start())
+    let_holds_fail(harness, UPSTREAM_SILENCE_MS + 200.0)
+    report = next(body for body in reversed(harness.bodies) if isinstance(body, Report))
+    assert not report.report.healthy
+    starts = sum(isinstance(call, CallStart) for call in harness.calls)
+    harness.send(StartRun("k/0/0", 1, "spec", ResourceVector(1_000, 10), 400.0))
+    assert sum(isinstance(call, CallStart) for call in harness.calls) == starts
+    harness.answer_hold((RunRow("j/0/0", 1, 50.0),))
+    harness.send(StartRun("k/0/0", 2, "spec", ResourceVector(1_000, 10), 400.0))
+    assert sum(isinstance(call, CallStart) for call in harness.calls) == starts + 1
+
+
+def test_a_single_lost_answer_does_not_end_the_renewal_of_the_lease(
+    harness: ExecutorHarness,
+) -> None:
+    harness.answer(harness.start())
+    let_holds_fail(harness, 200.0)
+    call = harness.core.next_hold(harness.now)
+    assert call is not None
+    assert call.deadline_ms is not None
+
+
 def test_a_restarted_upstream_has_no_runs_and_gets_a_higher_token(harness: ExecutorHarness) -> None:
     """An order to the last incarnation may still be executed by the new one."""
     call = harness.start()
