Connect within 250 ms, and open a session when its connection is open

Cause: after a loss of power an agent connects to an entry whose VM is still down. The request has no answer, TCP repeats it only after a second, and so long did the agent wait: for a second after the restart most upstreams had no work. Sessions that were opened before their connection ended soon after with the tasks placed in them.

Change: connections are given up after 250 ms and tried again within 200 ms; a session that nothing has come through is opened anew when its connection is open.

--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -141,6 +141,16 @@
             self._peers[peer] = _Peer(now_ms)
             self._open(peer, now_ms)
 
+    def on_connected(self, peer: str, now_ms: float) -> None:
+        """Open the session anew when a connection is open and nothing has come through before.
+
+        The answer of the entry is refused if the session is older than `MAX_HANDSHAKE_MS`, and the
+        tasks that the entry has placed by then are lost.
+        """
+        state = self._peers.get(peer)
+        if state is not None and state.channel is not None and not state.channel.is_established:
+            self._open(peer, now_ms)
+
     def disconnect(self, peer: str, now_ms: float) -> None:
         """Remove an entry that left the directory, and end its session."""
         if peer in self._peers:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -116,7 +116,11 @@
         self._directory = Directory()
         name = f"{settings.name}+{self._incarnation}"
         self._connections = StreamClients(
-            name, AGENT_CODEC, self._on_frame, self._on_connection_end
+            name,
+            AGENT_CODEC,
+            self._on_frame,
+            self._on_connection_end,
+            notify_open=self._on_connection_open,
         )
         self._entries_changed = curio.Event()
         self._hold_outstanding = False
@@ -206,6 +210,9 @@
                 self._log.info("executor", "no lists of runs received", reason=answer.value)
                 await self._task.put(self._core.on_hold, call, None)
 
+    async def _on_connection_open(self, entry: str) -> None:
+        await self._task.put(self._core.entries.on_connected, entry)
+
     def _on_connection_end(self, entry: str, reason: str) -> None:
         self._log.info("entries", "connection ended", entry=entry, reason=reason)
 
--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -38,6 +38,8 @@
 
 Deliver = Callable[[str, Any], Awaitable[None]]
 """Callback for received messages, with the name of the peer and the message."""
+NotifyOpen = Callable[[str], Awaitable[None]]
+"""Callback for a connection that was opened to the named peer."""
 ReportEnd = Callable[[str, str], None]
 """Callback for a connection that ended, was refused or could not be opened, with the name of the
 peer, or its address while the name is not known, and the reason. After a failed accept, the name is
@@ -60,8 +62,10 @@
     ``pending_bytes`` limits the bytes buffered for a peer that doesn't read; beyond it, the
     connection is closed. ``connections`` is half of the file descriptors of an ordinary entry. The
     kernel drops a connection after ``keepalive_timeout_ms`` without an answer to its keep-alive
-    probes; sessions detect silence sooner, so this only removes connections whose peer is gone. An
-    ended connection is reopened after ``reconnect_ms``, which doubles with each failed attempt up
+    probes; sessions detect silence sooner, so this only removes connections whose peer is gone.
+    ``connect_timeout_ms`` is far above a round trip and below the second after which TCP repeats a
+    lost connection request: a peer that was still starting is reached by the next attempt. An ended
+    connection is reopened after ``reconnect_ms``, which doubles with each failed attempt up
     to ``reconnect_max_ms``.
     """
 
@@ -69,9 +73,9 @@
     pending_bytes: int = 4 * 1024 * 1024
     connections: int = 2_000
     keepalive_timeout_ms: float = 10_000
-    connect_timeout_ms: float = 1_000
+    connect_timeout_ms: float = 250
     reconnect_ms: float = 50
-    reconnect_max_ms: float = 400
+    reconnect_max_ms: float = 200
 
 
 class FrameBuffer:
@@ -321,9 +325,11 @@
         deliver: Deliver,
         report: ReportEnd,
         limits: StreamLimits | None = None,
+        notify_open: NotifyOpen | None = None,
     ) -> None:
         self._name = name
         super().__init__(codec, deliver, report, limits or StreamLimits())
+        self._notify_open = notify_open
         self._tasks: dict[str, curio.Task] = {}
         self._addresses: dict[str, str] = {}
 
@@ -385,7 +391,9 @@
                 await sock.connect(target)
         except (OSError, curio.TaskTimeout) as error:
             await sock.close()
-            return str(error) or "connection timed out"
+            if isinstance(error, curio.TaskTimeout):
+                return f"no connection within {self._limits.connect_timeout_ms:.0f} ms"
+            return str(error) or type(error).__name__
         except BaseException:
             await sock.close()
             raise
@@ -393,6 +401,8 @@
         self._streams[peer] = stream
         stream.write(self._name.encode())
         await stream.flush()
+        if self._notify_open is not None:
+            await self._notify_open(peer)
         self._report(peer, await stream.run(lambda frames: self._deliver_frames(peer, frames)))
         return ""
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -7,7 +7,12 @@
 import pytest
 
 from snipewell.channel import Channel, session_number
-from snipewell.entrysession import SESSION_TIMEOUT_MS, STOP_RETRY_MS, SendFrame
+from snipewell.entrysession import (
+    MAX_HANDSHAKE_MS,
+    SESSION_TIMEOUT_MS,
+    STOP_RETRY_MS,
+    SendFrame,
+)
 from snipewell.executor import IDLE_POLL_MS, STALL_MS, UPSTREAM_SILENCE_MS, Executor
 from snipewell.ids import UpstreamId
 from snipewell.job import ResourceVector, RunEnd
@@ -315,6 +320,30 @@
     assert session_number(harness.channel.session) > before
 
 
+def test_a_session_is_opened_anew_when_its_connection_is_open_at_last() -> None:
+    """After a loss of power the agent is up before the entry, and connects only later.
+
+    The entry places tasks in the session at once; they would be lost with a session that is too
+    old for its answer.
+    """
+    harness = ExecutorHarness()
+    harness.open_session()
+    harness.now += MAX_HANDSHAKE_MS + 50.0
+    harness.core.entries.on_connected("entry-1", harness.now)
+    harness.collect_effects()
+    harness.answer(harness.start())
+    assert harness.core.running == 1
+    assert harness.core.entries.is_responsive("entry-1", harness.now)
+
+
+def test_an_established_session_survives_a_new_connection(harness: ExecutorHarness) -> None:
+    harness.answer(harness.start())
+    harness.core.entries.on_connected("entry-1", harness.now)
+    harness.collect_effects()
+    assert harness.core.running == 1
+    assert harness.ends() == []
+
+
 def test_an_entry_that_does_not_respond_counts_as_failed_only_after_the_session_timeout(
     harness: ExecutorHarness,
 ) -> None:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -206,3 +206,51 @@
         await sock.close()
 
     run_check(check)
+
+
+def test_a_connection_request_without_an_answer_is_repeated_and_announced_when_open() -> None:
+    """Requests to a VM that is just starting are dropped, and TCP repeats them only after a second.
+
+    The full queue of a listener drops them as well.
+    """
+
+    async def main() -> None:
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        waiting = []
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            waiting.append(filler)
+        recorder, opened = Recorder(), []
+
+        async def notify_open(peer: str) -> None:
+            opened.append(peer)
+
+        limits = StreamLimits(connect_timeout_ms=100, reconnect_ms=10)
+        clients = StreamClients(
+            "agent+1", CODEC, recorder.deliver, recorder.report, limits, notify_open
+        )
+        await clients.connect("entry", f"{address[0]}:{address[1]}")
+        await until(lambda: recorder.ends == [("entry", "no connection within 100 ms")])
+        assert opened == []
+        for filler in waiting:
+            filler.close()
+        listener.setblocking(False)
+        server = curio.io.Socket(listener)
+        accepting = await curio.spawn(accept_all, server, daemon=True)
+        await until(lambda: opened == ["entry"])
+        await accepting.cancel()
+        await clients.close()
+        await server.close()
+
+    curio.run(main)
+
+
+async def accept_all(server: curio.io.Socket) -> None:
+    connections = []
+    while True:
+        connections.append(await server.accept())
