Send fewer heartbeats on idle sessions

Cause: with a subset of eight entries an agent still sends and receives some 20 frames a second when idle, a quarter of its wake-ups on the large site.

Change: idle sessions of agents and entries send every 600 ms in a fleet with full subsets. An entry counts as failed when its session has ended, so that one late heartbeat brings no substitute.

--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -41,9 +41,9 @@
 SUSPECT_AFTER_MS = MISSED_HEARTBEATS * HEARTBEAT_MS
 """Silence after which an agent with runs becomes suspect. Its session ends later, when the agent
 must have stopped its runs."""
-ENTRY_IDLE_FRAMES_PER_S = 100.0
-"""Target rate of empty frames on all sessions of an entry without runs together: it costs about 1%
-of a core."""
+ENTRY_IDLE_FRAMES_PER_S = 50.0
+"""Target rate of empty frames on all sessions of an entry without runs together: it costs about
+half a percent of a core."""
 MAX_SESSION_NUMBERS = 10_000
 """Maximum number of agent incarnations whose latest session number is stored: several for each
 agent of a large fleet."""
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -32,9 +32,9 @@
 HEARTBEAT_MS = 200.0
 """Heartbeat interval of a session with runs: longest interval between two frames. It is about a
 quarter of ``SESSION_TIMEOUT_MS``."""
-AGENT_IDLE_FRAMES_PER_S = 20.0
+AGENT_IDLE_FRAMES_PER_S = 13.0
 """Heartbeats per second that an agent sends on all its sessions without runs together; they cost as
-much as two tasks."""
+much as one or two tasks."""
 MAX_IDLE_HEARTBEAT_MS = 600.0
 """Upper bound of the heartbeat interval of a session without runs; a third of its session timeout,
 which is twice ``SESSION_TIMEOUT_MS``."""
@@ -184,12 +184,12 @@
         )
 
     def find_failed(self, now_ms: float) -> set[str]:
-        """Return the entries that don't respond, apart from those that were just added."""
+        """Return the entries without a session that works, apart from those just added."""
         return {
             peer
             for peer, state in self._peers.items()
             if now_ms - state.added_ms >= SESSION_TIMEOUT_MS
-            and not self.is_responsive(peer, now_ms)
+            and (state.channel is None or not state.channel.is_established)
         }
 
     def take_timed_out(self) -> list[str]:
