--- a/snipewell/daemon.py
+++ b/snipewell/daemon.py
@@ -116,9 +116,10 @@
 
 
 def freeze_memory() -> None:
-    """Exempt the objects allocated during the start from garbage collection.
+    """Exempt the objects allocated during the start from garbage collection, and enable it.
 
     Every full collection would traverse them again.
     """
     gc.collect()
     gc.freeze()
+    gc.enable()
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 import sys
 
@@ -93,6 +94,8 @@
 
 def main() -> None:
     """Run the daemon named by the first argument; exit with status 2 on invalid settings."""
+    # Imports create no garbage worth collecting; `freeze_memory` enables the collector again.
+    gc.disable()
     try:
         match sys.argv[1:]:
             case ["entry"]:
