--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -140,6 +140,9 @@
         for name in [*planned.late, *planned.infeasible]:
             rest = [task for task in jobs[name] if task.view is None]
             self._start_tasks(rest, pool, now_ms, require_reserve=True)
+        if planned.infeasible:
+            # The round may follow the first report of an upstream, before the next tick.
+            self._check_capacity_growth(now_ms)
         if now_ms >= self._refuse_after_ms:
             self._refuse_infeasible(planned.infeasible, jobs, waiting, rate, views, now_ms)
 
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -15,7 +15,7 @@
 from snipewell.agentsession import SendAgent
 from snipewell.daemon import RELAXED_TICK_MS
 from snipewell.entrysession import SendFrame
-from snipewell.executor import Executor
+from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, Executor
 from snipewell.ids import ServiceName, UpstreamId
 from snipewell.job import (
     Catalog,
@@ -95,6 +95,8 @@
         self.last_end_number = 0
         self.hangs = False
         self.fails = False
+        self.dark = False
+        """Set while the upstream is lost without a word: it answers no call and runs nothing."""
         self.deferred_call_share = 0.0
         self.waiters: list[tuple[float, Callable[[], None]]] = []
 
@@ -260,7 +262,12 @@
                     self.hold(effect, False)
 
     def call_upstream(self, execute: Callable[[], object]) -> bool:
-        """Execute a call now or, unanswered, 2 to 6 s later; return whether it ran now."""
+        """Execute a call now or, unanswered, 2 to 6 s later; return whether it ran now.
+
+        A dark upstream never executes it.
+        """
+        if self.upstream.dark:
+            return False
         if self.sim.rng.random() < self.upstream.deferred_call_share:
             self.sim.after(self.sim.rng.uniform(2_000, 6_000), execute)
             return False
@@ -288,6 +295,14 @@
         a time; ``holding`` is set meanwhile.
         """
         incarnation, upstream = self.incarnation, self.upstream
+        if upstream.dark:
+            self.sim.after(
+                call.wait_ms + HOLD_TIMEOUT_MARGIN_MS,
+                lambda: self.run_in_incarnation(
+                    incarnation, lambda: self.finish_hold(call, None, regular)
+                ),
+            )
+            return
         if call.fence < upstream.fence:
             self.sim.after(
                 1.0,
@@ -318,7 +333,7 @@
         self.holding = self.holding and not regular
         self.core.on_hold_fenced(call, self.sim.now)
 
-    def finish_hold(self, call: CallHold, runs: RunLists, regular: bool) -> None:
+    def finish_hold(self, call: CallHold, runs: RunLists | None, regular: bool) -> None:
         self.holding = self.holding and not regular
         self.core.on_hold(call, runs, self.sim.now)
 
@@ -491,6 +506,13 @@
     def work_of(self, task: str) -> float:
         return self.work[task.split("/")[0]]
 
+    def add_upstream(self, speed: float = 1.0) -> SimAgent:
+        """Add an upstream with its agent, which connects to all entries."""
+        upstream = SimUpstream(self, len(self.upstreams), 1.0, speed)
+        self.upstreams.append(upstream)
+        self.agents.append(SimAgent(self, upstream))
+        return self.agents[-1]
+
     def submit(self, entry: SimEntry, tasks: int, work_ms: float) -> Client:
         job = JobId(f"job{len(self.clients)}")
         self.work[job] = work_ms
