Report no free capacity to an entry before it has answered

Cause: all entries started tasks on the same free capacity of an upstream that joined.

Change: a new session reports no free capacity until the entry has answered; entries with waiting tasks answer with their demand and get an offer, the others a report later.

--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -201,7 +201,7 @@
         state = self._peers[peer]
         self._opened += 1
         state.channel = Channel(name_session(self._incarnation, self._opened), now_ms)
-        state.reported = self._describe(now_ms)
+        state.reported = replace(self._describe(now_ms), free=ResourceVector())
         state.reported_ms = now_ms
         self._send(peer, Hello(self._agent, state.reported), now_ms)
 
@@ -268,11 +268,21 @@
             scarce = report.free.cpu_milli < SCARCE_SHARE * report.capacity.cpu_milli
             interval_ms = heartbeat_ms * (SCARCE_REPORT_SHARE if scarce else 1.0)
             if elapsed_ms >= interval_ms or not report.equals_except_load(previous):
-                free = self._offers.free_for(peer, report.free, now_ms)
-                update = replace(report, free=free)
+                update = replace(report, free=self._find_free(peer, report.free, now_ms))
                 if update != previous or elapsed_ms >= REPORT_REFRESH_MS:
                     self._send_report(peer, update, now_ms)
 
+    def _find_free(self, peer: str, free: ResourceVector, now_ms: float) -> ResourceVector:
+        """Return the resources to report to ``peer``: none until the entry has answered.
+
+        All entries would start tasks on the same resources of an upstream that has just joined.
+        Those with waiting tasks answer with their demand and get an offer.
+        """
+        channel = self._peers[peer].channel
+        if channel is None or not channel.is_established:
+            return ResourceVector()
+        return self._offers.free_for(peer, free, now_ms)
+
     def _send_report(self, peer: str, report: UpstreamReport, now_ms: float) -> None:
         """Send a report; acknowledged delivery is used only if more than the load changed."""
         state = self._peers[peer]
