--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -95,8 +95,8 @@
         self.last_end_number = 0
         self.hangs = False
         self.fails = False
-        self.dark = False
-        """Set while the upstream is lost without a word: it answers no call and runs nothing."""
+        self.silent = False
+        """Set after a silent crash: the upstream answers no call and runs nothing."""
         self.deferred_call_share = 0.0
         self.waiters: list[tuple[float, Callable[[], None]]] = []
 
@@ -264,9 +264,9 @@
     def call_upstream(self, execute: Callable[[], object]) -> bool:
         """Execute a call now or, unanswered, 2 to 6 s later; return whether it ran now.
 
-        A dark upstream never executes it.
+        A silent upstream never executes it.
         """
-        if self.upstream.dark:
+        if self.upstream.silent:
             return False
         if self.sim.rng.random() < self.upstream.deferred_call_share:
             self.sim.after(self.sim.rng.uniform(2_000, 6_000), execute)
@@ -295,7 +295,7 @@
         a time; ``holding`` is set meanwhile.
         """
         incarnation, upstream = self.incarnation, self.upstream
-        if upstream.dark:
+        if upstream.silent:
             self.sim.after(
                 call.wait_ms + HOLD_TIMEOUT_MARGIN_MS,
                 lambda: self.run_in_incarnation(
--- a/tests/test_fleetload.py
+++ b/tests/test_fleetload.py
@@ -1,4 +1,4 @@
-"""Load on a fleet whose upstreams change: newcomers, releases, and upstreams lost without a word.
+"""Load on a fleet whose upstreams change: newcomers, releases, and upstreams that crash silently.
 
 The production cores run in `jobsim`, without a network. Each test names the pattern it answers.
 """
@@ -83,14 +83,14 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_tasks_of_an_upstream_lost_without_a_word_run_elsewhere_soon(seed: int) -> None:
-    """Pattern: crash in the dark. No call is answered until the upstream is back seconds later."""
+def test_tasks_of_an_upstream_that_crashed_silently_run_elsewhere_soon(seed: int) -> None:
+    """Pattern: silent crash. No call is answered until the upstream is back seconds later."""
     sim = JobSim(seed)
     sim.run(500)
     submit_steadily(sim, 3_000, 100)
     lost = sim.upstreams[0]
     sim.run(1_000)
-    lost_ms, lost.dark = sim.now, True
+    lost_ms, lost.silent = sim.now, True
     for run in lost.running.values():
         run.record.end_ms, run.record.how = sim.now, "crashed"
     lost.running.clear()
