State only what was measured; restore the strict check of the loss of power

A refusal for lack of a label or size says that this entry has no such upstream, which is what it knows. An event of a descriptor that isn't kept can't raise KeyError in the selector.

--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -218,7 +218,9 @@
         ]
         for step in spec.steps:
             if eligible and not any(may_run(view, step, view.report.capacity) for view in eligible):
-                return JobRefused("no upstream has the label and the size for a task", 0.0)
+                return JobRefused(
+                    "no upstream of this entry has the label and the size for a task", 0.0
+                )
         return None
 
     def _refuse(self, request: int, job: JobId, refusal: JobRefused) -> None:
--- a/snipewell/selector.py
+++ b/snipewell/selector.py
@@ -1,7 +1,6 @@
 """Selector for curio kernels that makes fewer system calls than those of the standard library.
 
-A daemon handles many small messages, so its cost is mostly that of system calls. Two kinds of them
-are saved:
+A daemon handles many small messages, each with several system calls. Two kinds of them are saved:
 
 - The kernel of curio polls before each cycle of ready tasks. A message takes two or three cycles:
   one task reads it and others process it. Polls without a wait seldom find anything between them,
@@ -89,7 +88,7 @@
         return self._keys[key.fd]
 
     def _forget(self, descriptor: int) -> None:
-        del self._watched[descriptor]
+        self._watched.pop(descriptor, None)
         try:
             self._epoll.unregister(descriptor)
         except OSError:
--- a/tests/test_fleetload.py
+++ b/tests/test_fleetload.py
@@ -7,8 +7,6 @@
 
 import pytest
 
-from snipewell.job import JobEnded
-
 from .jobsim import MAX_HOLD_MS, RESUBMIT_DELAY_MS, JobSim, RunRecord, SimUpstream
 
 WORK_MS = 300.0
@@ -124,6 +122,4 @@
     assert any(record.start_ms > killed_ms for record in sim.records)
     sim.run(2_000)
     finish(sim)
-    # Jobs that were cut off may be refused, because they are late by now; later ones may not.
-    later = [client for client in sim.clients if int(client.job[3:]) * 40 >= 1_500 + 500]
-    assert [c.job for c in later if not isinstance(c.outcome, JobEnded)] == []
+    assert sim.completed() == len(sim.clients)
