--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -13,7 +13,7 @@
 
 from .agentview import AgentView
 from .channel import Channel, ChannelFullError, session_number
-from .entrysession import HEARTBEAT_MS, SESSION_TIMEOUT_MS, STOP_RETRY_MS, idle_heartbeat_ms
+from .entrysession import HEARTBEAT_MS, SESSION_TIMEOUT_MS, STOP_MARGIN_MS, idle_heartbeat_ms
 from .runmessage import (
     AgentBody,
     AgentFrame,
@@ -47,8 +47,6 @@
 MAX_SESSION_NUMBERS = 10_000
 """Maximum number of agent incarnations whose latest session number is stored: several for each
 agent of a large fleet."""
-STOP_MARGIN_MS = 2 * STOP_RETRY_MS
-"""Time for an agent to stop the runs of a silent entry, including one lost stop request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/clock.py
+++ b/snipewell/clock.py
@@ -21,6 +21,10 @@
         """
         ...
 
+    def suspended_ms(self) -> float:
+        """Return the total time in ms for which the VM was suspended, counted from any origin."""
+        ...
+
 
 class SystemClock:
     """Clocks of the operating system."""
@@ -33,6 +37,11 @@
         """Return the system's wall-clock time in milliseconds since the Unix epoch."""
         return time.time_ns() // 1_000_000
 
+    def suspended_ms(self) -> float:
+        """Return the time in milliseconds for which the system was suspended since it booted."""
+        boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return (boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) / 1_000_000
+
 
 class ManualClock:
     """A clock that moves only by calls of `advance`, for tests and simulations.
@@ -51,6 +60,10 @@
         """Return the simulated time, with the Unix epoch at 0 ms."""
         return int(self._now_ms)
 
+    def suspended_ms(self) -> float:
+        """Return 0: the simulated VM is never suspended."""
+        return 0.0
+
     def advance(self, by_ms: float) -> None:
         """Move the clock forward by ``by_ms``; raise ValueError if that is negative."""
         if by_ms < 0:
--- a/snipewell/daemon.py
+++ b/snipewell/daemon.py
@@ -36,6 +36,9 @@
 sum of the clients' shortest deadline (1,500 ms) and their resend interval (1,300 ms)."""
 STOP_RESERVE_MS = 400.0
 """Part of the grace period reserved to send responses and exit."""
+MIN_SUSPENSION_MS = 50.0
+"""Shortest suspension of the VM that is logged. The two clocks that show it are read one after the
+other, so their difference varies a little."""
 METRICS_LIMITS = ServerLimits(connections=16)
 
 
@@ -45,9 +48,11 @@
     ``perform`` is called after each batch of calls to carry out the effects of the core.
     """
 
-    def __init__(self, clock: Clock, perform: Callable[[], Awaitable[None]]) -> None:
+    def __init__(self, clock: Clock, perform: Callable[[], Awaitable[None]], log: Log) -> None:
         self._clock = clock
         self._perform = perform
+        self._log = log
+        self._suspended_ms = clock.suspended_ms()
         self._inbox = Inbox()
         self._performed: list[curio.Event] = []
         """Callers of `call` to wake after the effects of this batch have been carried out."""
@@ -78,9 +83,17 @@
     ) -> None:
         """Queue a call of ``tick`` every ``interval_ms()``; runs until the process ends."""
         while True:
+            self._log_suspension()
             await self.put(tick)
             await curio.sleep(interval_ms() / 1000)
 
+    def _log_suspension(self) -> None:
+        suspended_ms = self._clock.suspended_ms()
+        for_ms = suspended_ms - self._suspended_ms
+        if for_ms >= MIN_SUSPENSION_MS:
+            self._suspended_ms = suspended_ms
+            self._log.info("clock", "the VM was suspended", for_ms=round(for_ms))
+
 
 async def flush_log(buffer: LogBuffer) -> None:
     """Write the buffered log lines every ``FLUSH_MS``; runs until the process ends."""
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -44,6 +44,9 @@
 stop the runs, one lost stop included."""
 STOP_RETRY_MS = 150.0
 """Wait before a stop order is repeated; three times the upstream's ``stopGraceMs``."""
+STOP_MARGIN_MS = 2 * STOP_RETRY_MS
+"""Time for an agent to stop the runs of a silent entry, including one lost stop request. The entry
+starts their tasks elsewhere after it."""
 MAX_HANDSHAKE_MS = 250.0
 """Largest age of a session at which the first frame of the entry is accepted, which bounds the
 error in the age of later frames. If the frame arrives later, the session is replaced at once, which
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -18,7 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .entrysession import STOP_RETRY_MS, EntrySessions, SendFrame
+from .entrysession import STOP_MARGIN_MS, STOP_RETRY_MS, EntrySessions, SendFrame
 from .job import ResourceVector, RunEnd
 from .lease import LeaseClock
 from .run import MIN_PROJECTED_PERCENT, SLOW_REPORT_MS, Run, RunState
@@ -100,6 +100,8 @@
     rejected: int = 0
     indeterminate: int = 0
     stalled: int = 0
+    slow_stops: int = 0
+    """Runs that ended more than `STOP_MARGIN_MS` after they were to be stopped."""
     timed_out_sessions: int = 0
     ends: dict[str, int] = field(default_factory=dict)
 
@@ -527,6 +529,7 @@
         if run.stop_reason:
             return
         run.stop_reason = reason
+        run.stop_requested_ms = now_ms
         self._note("stopping run", task=key[0], attempt=key[1], reason=reason)
         if run.state is RunState.RUNNING:
             self._call_stop(run, now_ms)
@@ -534,6 +537,7 @@
     def _call_stop(self, run: Run, now_ms: float) -> None:
         assert self._upstream is not None
         run.stop_sent_ms = now_ms
+        run.stop_orders += 1
         self.effects.append(
             CallStop(self._upstream, run.order.task, run.order.attempt, self._fence)
         )
@@ -544,7 +548,10 @@
         elapsed_ms = 0.0 if how is RunEnd.REJECTED else now_ms - run.start_sent_ms
         if how is RunEnd.DONE:
             self._speed.add_sample(elapsed_ms / max(1.0, run.order.estimate_ms), now_ms)
-        if how is not RunEnd.DONE:
+        stopping_ms = now_ms - run.stop_requested_ms if run.stop_reason else 0.0
+        if stopping_ms > STOP_MARGIN_MS:
+            self.counters.slow_stops += 1
+        if how is not RunEnd.DONE or run.stop_reason:
             self._note(
                 "run ended",
                 task=key[0],
@@ -552,6 +559,8 @@
                 how=how.value,
                 reason=reason,
                 elapsed_ms=round(elapsed_ms),
+                stopping_ms=round(stopping_ms),
+                stop_orders=run.stop_orders,
             )
         self.entries.offer(now_ms)
         free = self.entries.free_for(run.peer, self._free(), now_ms)
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -111,7 +111,7 @@
         # raises a token that is too low.
         fence = clock.wall_ms()
         self._core = Executor(settings.name, self._incarnation, fence, settings.max_lease_ms)
-        self._task = CoreTask(clock, self._perform)
+        self._task = CoreTask(clock, self._perform, log)
         self._desired = DesiredState(keys)
         self._directory = Directory()
         name = f"{settings.name}+{self._incarnation}"
@@ -143,6 +143,7 @@
         self.metrics.gauge("rejected_starts", lambda: counters.rejected)
         self.metrics.gauge("unclear_starts", lambda: counters.indeterminate)
         self.metrics.gauge("stalled_runs", lambda: counters.stalled)
+        self.metrics.gauge("slow_stops", lambda: counters.slow_stops)
         self.metrics.gauge("silent_owners", lambda: counters.timed_out_sessions)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -89,7 +89,7 @@
         self._log = log
         self._buffer = buffer
         self._core = Scheduler(rng)
-        self._task = CoreTask(clock, self._perform)
+        self._task = CoreTask(clock, self._perform, log)
         self._desired = DesiredState(keys)
         self._replies: dict[int, curio.Queue] = {}
         self._requests = 0
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -59,6 +59,10 @@
     """How the run ends if its start is indeterminate and the upstream doesn't list it."""
     stop_reason: str = ""
     stop_sent_ms: float = float("-inf")
+    stop_requested_ms: float = float("-inf")
+    """Time at which the run was to be stopped."""
+    stop_orders: int = 0
+    """Number of stop orders sent to the upstream."""
 
     def projected_duration_ms(self, now_ms: float) -> float:
         """Return the total duration of the run, projected from its progress.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -10,10 +10,17 @@
 from snipewell.entrysession import (
     MAX_HANDSHAKE_MS,
     SESSION_TIMEOUT_MS,
+    STOP_MARGIN_MS,
     STOP_RETRY_MS,
     SendFrame,
 )
-from snipewell.executor import IDLE_POLL_MS, STALL_MS, UPSTREAM_SILENCE_MS, Executor
+from snipewell.executor import (
+    IDLE_POLL_MS,
+    STALL_MS,
+    UPSTREAM_SILENCE_MS,
+    Executor,
+    LogRecord,
+)
 from snipewell.ids import UpstreamId
 from snipewell.job import ResourceVector, RunEnd
 from snipewell.runmessage import (
@@ -56,6 +63,7 @@
         self.bodies: list[AgentBody] = []
         self.channel: Channel[EntryBody, AgentBody] | None = None
         self.ended: list[EndRow] = []
+        self.logs: list[LogRecord] = []
 
     def collect_effects(self) -> None:
         effects, self.core.effects[:] = list(self.core.effects), []
@@ -67,6 +75,8 @@
                     self.bodies += self.channel.receive(effect.frame, self.now)
                 case CallStart() | CallStop() | CallHold():
                     self.calls.append(effect)
+                case LogRecord():
+                    self.logs.append(effect)
 
     def open_session(self) -> None:
         self.core.on_heartbeat(UPSTREAM, self.now)
@@ -122,6 +132,10 @@
             self.core.tick(self.now)
             self.collect_effects()
 
+    def take_logs(self, text: str) -> list[dict[str, object]]:
+        """Return the fields of the logged lines with the message ``text``."""
+        return [dict(record.fields) for record in self.logs if record.text == text]
+
     def ends(self) -> list[tuple[str, int, str, str]]:
         return [
             (b.task, b.attempt, b.how, b.reason) for b in self.bodies if isinstance(b, RunEnded)
@@ -527,3 +541,20 @@
     again = harness.calls[-1]
     assert isinstance(again, CallStart)
     assert again.fence >= call.fence + 600_000
+
+
+def test_the_time_that_a_stop_takes_is_logged(harness: ExecutorHarness) -> None:
+    """A run that went on after its entry was given up left no trace of when and why."""
+    harness.answer(harness.start())
+    rows = (RunRow("j/0/0", 1, 1.0),)
+    harness.send(StopRun("j/0/0", 1))
+    stopped_at = harness.now
+    harness.advance(STOP_MARGIN_MS + 60, running=rows)
+    harness.ended.append(EndRow(1, "j/0/0", 1, RunEnd.DONE))
+    harness.answer_hold()
+    [line] = harness.take_logs("run ended")
+    assert line["how"] == "done"
+    assert line["stopping_ms"] == harness.now - stopped_at
+    orders = [call for call in harness.calls if isinstance(call, CallStop)]
+    assert line["stop_orders"] == len(orders) > 1
+    assert harness.core.counters.slow_stops == 1
