--- a/snipewell/clock.py
+++ b/snipewell/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 
@@ -27,11 +28,18 @@
 
 
 class SystemClock:
-    """Clocks of the operating system."""
+    """Clocks of the operating system.
+
+    ``read_ns`` returns the time of the clock with a given id (``time.CLOCK_MONOTONIC``, ...) in
+    nanoseconds.
+    """
+
+    def __init__(self, read_ns: Callable[[int], int] = time.clock_gettime_ns) -> None:
+        self._read_ns = read_ns
 
     def now_ms(self) -> float:
         """Return the system's monotonic time in milliseconds."""
-        return time.monotonic_ns() / 1_000_000
+        return self._read_ns(time.CLOCK_MONOTONIC) / 1_000_000
 
     def wall_ms(self) -> int:
         """Return the system's wall-clock time in milliseconds since the Unix epoch."""
@@ -39,8 +47,8 @@
 
     def suspended_ms(self) -> float:
         """Return the time in milliseconds for which the system was suspended since it booted."""
-        boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
-        return (boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) / 1_000_000
+        boot_ns = self._read_ns(time.CLOCK_BOOTTIME)
+        return (boot_ns - self._read_ns(time.CLOCK_MONOTONIC)) / 1_000_000
 
 
 class ManualClock:
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import heapq
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from snipewell.agentsession import SendAgent
+from snipewell.clock import SystemClock
 from snipewell.daemon import RELAXED_TICK_MS
 from snipewell.entrysession import SendFrame
 from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, Executor
@@ -74,6 +76,25 @@
     stopping_ms: float | None = None
 
 
+class SimOsClock:
+    """Clocks of the operating system of a VM, without those that can be set.
+
+    ``CLOCK_MONOTONIC`` doesn't count the time ``suspended_ms`` for which the VM was suspended.
+    """
+
+    def __init__(self, sim: JobSim) -> None:
+        self.sim = sim
+        self.suspended_ms = 0.0
+
+    def read_ns(self, clock: int) -> int:
+        match clock:
+            case time.CLOCK_MONOTONIC:
+                return int((self.sim.now - self.suspended_ms) * 1_000_000)
+            case time.CLOCK_BOOTTIME:
+                return int(self.sim.now * 1_000_000)
+        raise ValueError(f"unknown clock {clock}")
+
+
 class SimUpstream:
     """An upstream that implements the platform's contract.
 
@@ -197,6 +218,8 @@
         self.incarnation_count = 0
         self.paused = False
         self.deferred: list[Callable[[], None]] = []
+        self.os_clock = SimOsClock(sim)
+        self.clock = SystemClock(self.os_clock.read_ns)
         self.boot()
 
     def boot(self) -> None:
@@ -205,17 +228,17 @@
         self.core = Executor(self.upstream.name, self.incarnation, int(self.sim.now), MAX_HOLD_MS)
         self.holding = False
         for entry in self.sim.entries:
-            self.core.entries.connect(entry.name, self.sim.now)
-        self.core.on_heartbeat(self.upstream.describe(), self.sim.now)
+            self.core.entries.connect(entry.name, self.clock.now_ms())
+        self.core.on_heartbeat(self.upstream.describe(), self.clock.now_ms())
 
     def move_session(self, entry: SimEntry, rejoin_after_ms: float) -> None:
         """Leave ``entry`` as if it had left the subset, and connect to it again later."""
         incarnation = self.incarnation
-        self.run_or_defer(lambda: self.core.leave_entry(entry.name, self.sim.now))
+        self.run_or_defer(lambda: self.core.leave_entry(entry.name, self.clock.now_ms()))
         self.sim.after(
             rejoin_after_ms,
             lambda: self.run_in_incarnation(
-                incarnation, lambda: self.core.entries.connect(entry.name, self.sim.now)
+                incarnation, lambda: self.core.entries.connect(entry.name, self.clock.now_ms())
             ),
         )
 
@@ -231,6 +254,18 @@
         if incarnation == self.incarnation:
             self.run_or_defer(work)
 
+    def suspend(self, for_ms: float) -> None:
+        """Suspend the VM, and resume it unless the process was killed meanwhile."""
+        self.paused = True
+        incarnation = self.incarnation
+        self.sim.after(
+            for_ms, lambda: self.wake(for_ms) if self.incarnation == incarnation else None
+        )
+
+    def wake(self, suspended_ms: float) -> None:
+        self.os_clock.suspended_ms += suspended_ms
+        self.resume()
+
     def resume(self) -> None:
         self.paused = False
         deferred, self.deferred = self.deferred, []
@@ -239,11 +274,11 @@
 
     def tick(self) -> None:
         if not self.paused:
-            self.core.tick(self.sim.now)
+            self.core.tick(self.clock.now_ms())
             self.perform()
 
     def perform(self) -> None:
-        now = self.sim.now
+        now = self.clock.now_ms()
         if not self.holding:
             hold = self.core.next_hold(now)
             if hold is not None:
@@ -282,7 +317,7 @@
         def answer() -> None:
             result = results[0] if answered else StartResult.UNANSWERED
             clock = self.upstream.clock_ms() if answered else None
-            self.core.on_start_answer(call, result, clock, self.sim.now)
+            self.core.on_start_answer(call, result, clock, self.clock.now_ms())
 
         self.sim.after(
             1.0 if answered else 250.0, lambda: self.run_in_incarnation(incarnation, answer)
@@ -331,11 +366,11 @@
 
     def finish_fenced_hold(self, call: CallHold, regular: bool) -> None:
         self.holding = self.holding and not regular
-        self.core.on_hold_fenced(call, self.sim.now)
+        self.core.on_hold_fenced(call, self.clock.now_ms())
 
     def finish_hold(self, call: CallHold, runs: RunLists | None, regular: bool) -> None:
         self.holding = self.holding and not regular
-        self.core.on_hold(call, runs, self.sim.now)
+        self.core.on_hold(call, runs, self.clock.now_ms())
 
     def kill(self) -> None:
         """Kill the process; its next incarnation starts half a second later."""
@@ -362,9 +397,13 @@
         self.paused = False
         self.deferred: list[Callable[[], None]] = []
         self.waiting: dict[int, Client] = {}
+        self.os_clock = SimOsClock(sim)
+        self.clock = SystemClock(self.os_clock.read_ns)
+        self.incarnation_count = 0
         self.boot()
 
     def boot(self) -> None:
+        self.incarnation_count += 1
         self.core = Scheduler(Random(self.sim.rng.random()))
         self.core.set_catalog(Catalog(1, "1", (self.sim.queue,)))
 
@@ -375,6 +414,18 @@
             work()
             self.perform()
 
+    def suspend(self, for_ms: float) -> None:
+        """Suspend the VM, and resume it unless the process was killed meanwhile."""
+        self.paused = True
+        incarnation = self.incarnation_count
+        self.sim.after(
+            for_ms, lambda: self.wake(for_ms) if self.incarnation_count == incarnation else None
+        )
+
+    def wake(self, suspended_ms: float) -> None:
+        self.os_clock.suspended_ms += suspended_ms
+        self.resume()
+
     def resume(self) -> None:
         self.paused = False
         deferred, self.deferred = self.deferred, []
@@ -383,11 +434,11 @@
 
     def tick(self) -> None:
         if not self.paused:
-            self.core.tick(self.sim.now)
+            self.core.tick(self.clock.now_ms())
             self.perform()
 
     def perform(self) -> None:
-        self.core.place(self.sim.now)
+        self.core.place(self.clock.now_ms())
         effects, self.core.effects[:] = list(self.core.effects), []
         for effect in effects:
             match effect:
@@ -431,7 +482,9 @@
 
         def submit() -> None:
             if request in entry.waiting:
-                entry.core.submit(request, self.sim.queue, self.spec, 30_000.0, self.sim.now)
+                entry.core.submit(
+                    request, self.sim.queue, self.spec, 30_000.0, entry.clock.now_ms()
+                )
 
         self.sim.after(LINK_DELAY_MS, lambda: entry.run_or_defer(submit))
 
@@ -453,7 +506,7 @@
         self.on_connection_lost()
 
     def notify_disconnect(self, entry: SimEntry, request: int) -> None:
-        entry.core.on_client_disconnect(request, self.sim.now)
+        entry.core.on_client_disconnect(request, entry.clock.now_ms())
 
     def on_outcome(self, outcome: JobOutcome) -> None:
         if isinstance(outcome, JobUnknown):
@@ -530,7 +583,9 @@
         incarnation = agent.incarnation
 
         def deliver() -> None:
-            entry.run_or_defer(lambda: entry.core.on_frame(incarnation, effect.frame, self.now))
+            entry.run_or_defer(
+                lambda: entry.core.on_frame(incarnation, effect.frame, entry.clock.now_ms())
+            )
 
         self.transmit((agent.upstream.name, entry.name), deliver)
 
@@ -542,7 +597,8 @@
 
         def deliver() -> None:
             agent.run_in_incarnation(
-                incarnation, lambda: agent.core.on_frame(entry.name, effect.frame, self.now)
+                incarnation,
+                lambda: agent.core.on_frame(entry.name, effect.frame, agent.clock.now_ms()),
             )
 
         self.transmit((entry.name, agent.upstream.name), deliver)
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -49,6 +49,24 @@
         )
 
 
+def suspend_entry(sim: JobSim, rng: Random) -> None:
+    """Suspend the VM of an entry, whose monotonic clock stands still meanwhile."""
+    entry = rng.choice(sim.entries)
+    if entry.paused:
+        return
+    for client in list(entry.waiting.values()):
+        if rng.random() < 0.5:
+            client.reset_connection()
+    entry.suspend(rng.uniform(300, 4_000))
+
+
+def suspend_agent(sim: JobSim, rng: Random) -> None:
+    """Suspend the VM of an agent, whose monotonic clock stands still meanwhile."""
+    agent = rng.choice(sim.agents)
+    if not agent.paused:
+        agent.suspend(rng.uniform(300, 4_000))
+
+
 def cut_link(sim: JobSim, rng: Random) -> None:
     entry, upstream = rng.choice(sim.entries), rng.choice(sim.upstreams)
     sim.cut(entry.name, upstream.name)
@@ -128,6 +146,8 @@
         pause_entry,
         kill_agent,
         pause_agent,
+        suspend_entry,
+        suspend_agent,
         cut_link,
         cut_link_one_way,
         isolate_entry,
@@ -194,6 +214,39 @@
     check_invariants(simulate(seed + 1_000, rng.sample(list(FAULTS), 3)))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_run_has_ended_when_its_task_starts_elsewhere_while_half_of_the_stops_are_late(
+    seed: int,
+) -> None:
+    """A run went on beside its next attempt when the upstream didn't answer two stop orders."""
+    sim = JobSim(seed, entry_count=1)
+    sim.run(500)
+    for _ in range(4):
+        sim.submit(sim.entries[0], 2, 4_000.0)
+    sim.run(300)
+    for upstream in sim.upstreams:
+        upstream.deferred_call_share = 0.5
+    for upstream in sim.upstreams[:2]:
+        sim.cut(upstream.name, sim.entries[0].name, one_way=True)
+    sim.run(2_500)
+    stop_deferring_calls(sim)
+    sim.heal()
+    sim.run(8_000)
+    check_invariants(sim)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_order_that_waited_at_a_suspended_agent_starts_nothing(seed: int) -> None:
+    """The agent took the order for a fresh one, after the entry had started the task elsewhere."""
+    sim = JobSim(seed, agent_count=2, entry_count=1)
+    sim.run(500)
+    sim.agents[0].suspend(2_500.0)
+    for _ in range(5):
+        sim.submit(sim.entries[0], 2, 3_000.0)
+    sim.run(12_000)
+    check_invariants(sim)
+
+
 def main() -> None:
     """Simulate ``--runs`` seeds from ``--seed`` on and print those that violate an invariant."""
     parser = argparse.ArgumentParser(description=main.__doc__)
