--- a/snipewell/clock.py
+++ b/snipewell/clock.py
@@ -6,9 +6,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""The monotonic clock that goes on while the VM is suspended, on systems that have it."""
+
 
 class Clock(Protocol):
-    """A monotonic clock; its origin is arbitrary and differs between processes."""
+    """A monotonic clock; its origin is arbitrary and differs between processes.
+
+    It counts the time for which the VM was suspended. Peers and upstreams don't wait for a
+    suspended VM, so its sessions, leases and deadlines run out as if its processes were paused.
+    """
 
     def now_ms(self) -> float:
         """Return the monotonic time in milliseconds."""
@@ -38,8 +45,8 @@
         self._read_ns = read_ns
 
     def now_ms(self) -> float:
-        """Return the system's monotonic time in milliseconds."""
-        return self._read_ns(time.CLOCK_MONOTONIC) / 1_000_000
+        """Return the system's monotonic time in milliseconds, suspensions included."""
+        return self._read_ns(_STEADY_CLOCK) / 1_000_000
 
     def wall_ms(self) -> int:
         """Return the system's wall-clock time in milliseconds since the Unix epoch."""
@@ -47,8 +54,8 @@
 
     def suspended_ms(self) -> float:
         """Return the time in milliseconds for which the system was suspended since it booted."""
-        boot_ns = self._read_ns(time.CLOCK_BOOTTIME)
-        return (boot_ns - self._read_ns(time.CLOCK_MONOTONIC)) / 1_000_000
+        steady_ns = self._read_ns(_STEADY_CLOCK)
+        return (steady_ns - self._read_ns(time.CLOCK_MONOTONIC)) / 1_000_000
 
 
 class ManualClock:
--- a/snipewell/permit.py
+++ b/snipewell/permit.py
@@ -107,8 +107,8 @@
     def _check_for_pause(self) -> None:
         """Discard all permits and pending heartbeats if this process was paused.
 
-        The wall clock is compared too, because the monotonic clock may stop while a VM is
-        suspended.
+        The wall clock is compared too, because some systems have no monotonic clock that goes on
+        while a VM is suspended.
         """
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         gap_ms = max(now_ms - self._observed_ms, wall_ms - self._observed_wall_ms)
