--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -18,7 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .entrysession import STOP_MARGIN_MS, STOP_RETRY_MS, EntrySessions, SendFrame
+from .entrysession import STOP_MARGIN_MS, EntrySessions, SendFrame
 from .job import ResourceVector, RunEnd
 from .lease import LeaseClock
 from .run import MIN_PROJECTED_PERCENT, SLOW_REPORT_MS, Run, RunState
@@ -149,6 +149,11 @@
         """Number of runs that occupy resources of the upstream, indeterminate starts included."""
         return len(self._runs)
 
+    @property
+    def awaits_stop(self) -> bool:
+        """Whether a stop order has no answer yet, so that it may have to be repeated soon."""
+        return any(run.stop_reason and not run.stop_answered for run in self._runs.values())
+
     # Upstream registration and lists of runs.
 
     def on_heartbeat(self, upstream: Upstream, now_ms: float) -> None:
@@ -538,10 +543,17 @@
         assert self._upstream is not None
         run.stop_sent_ms = now_ms
         run.stop_orders += 1
+        run.stop_answered = False
         self.effects.append(
             CallStop(self._upstream, run.order.task, run.order.attempt, self._fence)
         )
 
+    def on_stop_answer(self, call: CallStop, answered: bool, now_ms: float) -> None:
+        """Process the upstream's answer to a stop order, or its absence."""
+        run = self._runs.get((call.task, call.attempt))
+        if run is not None and answered and is_same_incarnation(call, self._upstream):
+            run.stop_answered = True
+
     def _finish(self, key: tuple[str, int], how: RunEnd, reason: str, now_ms: float) -> None:
         run = self._runs.pop(key)
         self.counters.ends[how.value] = self.counters.ends.get(how.value, 0) + 1
@@ -605,7 +617,7 @@
         if run.state is not RunState.RUNNING:
             return
         if run.stop_reason:
-            if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
+            if run.is_stop_due(now_ms):
                 self._call_stop(run, now_ms)
             return
         limit_ms = max(STALL_MS, STALL_SHARE * run.order.estimate_ms)
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -150,7 +150,8 @@
     def _tick_interval_ms(self) -> float:
         if not self._core.running:
             return IDLE_TICK_MS
-        return TICK_MS if self._core.entries.has_demand else RELAXED_TICK_MS
+        urgent = self._core.entries.has_demand or self._core.awaits_stop
+        return TICK_MS if urgent else RELAXED_TICK_MS
 
     async def _perform(self) -> None:
         """Carry out the effects of the core, and renew the lease of the runs at the upstream."""
@@ -187,10 +188,12 @@
         await self._task.put(self._core.on_start_answer, call, result, clock_ms)
 
     async def _stop(self, call: CallStop) -> None:
-        if not await self._upstream.stop(call, ORDER_TIMEOUT_MS):
+        answered = await self._upstream.stop(call, ORDER_TIMEOUT_MS)
+        if not answered:
             self._log.info(
                 "executor", "stop not acknowledged", task=call.task, attempt=call.attempt
             )
+        await self._task.put(self._core.on_stop_answer, call, answered)
 
     async def _hold(self, call: CallHold, regular: bool) -> None:
         """Perform a ``hold`` call.
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .entrysession import STOP_MARGIN_MS, STOP_REPEAT_MS, STOP_RETRY_MS
 from .job import ResourceVector, RunEnd
 from .runmessage import StartRun
 
@@ -63,6 +64,14 @@
     """Time at which the run was to be stopped."""
     stop_orders: int = 0
     """Number of stop orders sent to the upstream."""
+    stop_answered: bool = False
+    """Whether the upstream answered the latest stop order."""
+
+    def is_stop_due(self, now_ms: float) -> bool:
+        """Return whether a stop order should be sent again, because the run hasn't ended."""
+        in_margin = now_ms - self.stop_requested_ms < STOP_MARGIN_MS
+        wait_ms = STOP_REPEAT_MS if in_margin and not self.stop_answered else STOP_RETRY_MS
+        return now_ms - self.stop_sent_ms >= wait_ms
 
     def projected_duration_ms(self, now_ms: float) -> float:
         """Return the total duration of the run, projected from its progress.
--- a/snipewell/upstreamcall.py
+++ b/snipewell/upstreamcall.py
@@ -118,6 +118,8 @@
     sent_ms: float
 
 
-def is_same_incarnation(call: CallHold, upstream: Upstream) -> bool:
+def is_same_incarnation(call: CallHold | CallStop, upstream: Upstream | None) -> bool:
     """Return whether ``call`` was addressed to the incarnation that ``upstream`` describes."""
+    if upstream is None:
+        return False
     return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -15,9 +15,9 @@
 
 from snipewell.agentsession import SendAgent
 from snipewell.clock import SystemClock
-from snipewell.daemon import RELAXED_TICK_MS
+from snipewell.daemon import RELAXED_TICK_MS, TICK_MS
 from snipewell.entrysession import SendFrame
-from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, Executor
+from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, ORDER_TIMEOUT_MS, Executor
 from snipewell.ids import ServiceName, UpstreamId
 from snipewell.job import (
     Catalog,
@@ -292,7 +292,7 @@
                 case CallStart():
                     self.start(effect)
                 case CallStop():
-                    self.call_upstream(lambda call=effect: self.upstream.stop(call))  # type: ignore[misc]
+                    self.stop(effect)
                 case CallHold():
                     self.hold(effect, False)
 
@@ -309,6 +309,17 @@
         execute()
         return True
 
+    def stop(self, call: CallStop) -> None:
+        answered = self.call_upstream(lambda: self.upstream.stop(call))
+        incarnation = self.incarnation
+        self.sim.after(
+            1.0 if answered else ORDER_TIMEOUT_MS,
+            lambda: self.run_in_incarnation(
+                incarnation,
+                lambda: self.core.on_stop_answer(call, answered, self.clock.now_ms()),
+            ),
+        )
+
     def start(self, call: CallStart) -> None:
         results: list[StartResult] = []
         answered = self.call_upstream(lambda: results.append(self.upstream.start(call)))
@@ -632,11 +643,13 @@
                 heapq.heappop(self.heap)[2]()
             for upstream in self.upstreams:
                 upstream.step(step)
-            # The longest interval of the daemons while there are runs.
-            if round(self.now) % round(RELAXED_TICK_MS) == 0:
+            # The longest intervals of the daemons while there are runs.
+            relaxed = round(self.now) % round(RELAXED_TICK_MS) == 0
+            if relaxed:
                 for entry in self.entries:
                     entry.tick()
-                for agent in self.agents:
+            for agent in self.agents:
+                if relaxed or (agent.core.awaits_stop and round(self.now) % round(TICK_MS) == 0):
                     agent.tick()
 
     def overlaps(self) -> list[tuple[RunRecord, RunRecord]]:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -119,6 +119,11 @@
         self.core.on_start_answer(call, result, self.now, self.now)
         self.collect_effects()
 
+    def answer_stop(self) -> None:
+        """Answer the latest stop order."""
+        call = next(call for call in reversed(self.calls) if isinstance(call, CallStop))
+        self.core.on_stop_answer(call, True, self.now)
+
     def advance(
         self, by_ms: float, heartbeat: bool = True, running: tuple[RunRow, ...] = ()
     ) -> None:
@@ -498,10 +503,39 @@
     """The upstream may execute a stop order only after a delay."""
     harness.answer(harness.start())
     harness.send(StopRun("j/0/0", 1))
-    harness.advance(STOP_RETRY_MS + 40, running=(RunRow("j/0/0", 1, 12.0),))
+    harness.answer_stop()
+    harness.advance(STOP_RETRY_MS, running=(RunRow("j/0/0", 1, 12.0),))
+    harness.answer_stop()
+    harness.advance(40, running=(RunRow("j/0/0", 1, 12.0),))
     assert len([call for call in harness.calls if isinstance(call, CallStop)]) == 2
 
 
+def test_an_unanswered_stop_is_repeated_ten_times_before_the_task_starts_elsewhere(
+    harness: ExecutorHarness,
+) -> None:
+    """Two stop orders without an answer let a run go on beside the next attempt of its task."""
+    harness.answer(harness.start())
+    harness.send(StopRun("j/0/0", 1))
+    # The last stop that counts leaves the upstream its stopGraceMs of 50 ms.
+    harness.advance(STOP_MARGIN_MS - 100, running=(RunRow("j/0/0", 1, 12.0),))
+    orders = [call for call in harness.calls if isinstance(call, CallStop)]
+    assert len(orders) >= 1 + 10
+    assert harness.core.awaits_stop
+
+
+def test_an_answered_stop_of_an_earlier_incarnation_does_not_count(
+    harness: ExecutorHarness,
+) -> None:
+    """Answers on different connections may arrive after the upstream has restarted."""
+    harness.answer(harness.start())
+    harness.send(StopRun("j/0/0", 1))
+    call = harness.calls[-1]
+    assert isinstance(call, CallStop)
+    earlier = replace(call, upstream=replace(UPSTREAM, born_ms=1))
+    harness.core.on_stop_answer(earlier, True, harness.now)
+    assert harness.core.awaits_stop
+
+
 def test_a_stop_before_the_answer_to_the_start_is_sent_after_it(harness: ExecutorHarness) -> None:
     call = harness.start()
     harness.send(StopRun("j/0/0", 1))
