--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -67,7 +67,8 @@
 """Pause before new starts after a stall of the process, in which closed client connections are
 detected."""
 PROCESS_STALL_MS = 700.0
-"""Gap between two ticks that counts as a stall of the process: many times the usual gap."""
+"""Time without any activity that counts as a stall of the process: many times the interval between
+two ticks."""
 MAX_LOST_RUNS = 20
 """Number of runs of one task that were lost, stopped or stalled, or whose lease expired, at which
 the job is abandoned."""
@@ -140,7 +141,8 @@
             self._log,
         )
         self._arrivals = RecentArrivals()
-        self._last_tick_ms: float | None = None
+        self._last_active_ms: float | None = None
+        """Time of the last call of `place` or `tick`."""
         self._paused_until_ms = float("-inf")
 
     @property
@@ -451,6 +453,8 @@
 
     def place(self, now_ms: float) -> None:
         """Start waiting tasks on free capacity, and refuse jobs that can't be served in time."""
+        # After a suspension of the VM, frames that have waited are processed before the next tick.
+        self._check_stall(now_ms)
         if now_ms >= self._paused_until_ms:
             self._placer.place(self._waiting, now_ms)
         self.sessions.set_demand(self._placer.demand_cpu_milli, now_ms)
@@ -489,10 +493,7 @@
 
     def tick(self, now_ms: float) -> None:
         """Process timeouts and send due frames; call it every few milliseconds."""
-        gap_ms = 0.0 if self._last_tick_ms is None else now_ms - self._last_tick_ms
-        self._last_tick_ms = now_ms
-        if gap_ms >= PROCESS_STALL_MS:
-            self.pause_starts(gap_ms, now_ms)
+        self._check_stall(now_ms)
         for event in self.sessions.tick(now_ms):
             self._on_event(event, now_ms)
         for job in [j for j in self._jobs.values() if now_ms >= j.timing.client_until_ms]:
@@ -500,6 +501,12 @@
                 self._end_job(job, JobUnknown("the client's time is over"), now_ms)
         self._placer.tick(now_ms)
 
+    def _check_stall(self, now_ms: float) -> None:
+        gap_ms = 0.0 if self._last_active_ms is None else now_ms - self._last_active_ms
+        self._last_active_ms = now_ms
+        if gap_ms >= PROCESS_STALL_MS:
+            self.pause_starts(gap_ms, now_ms)
+
     def pause_starts(self, gap_ms: float, now_ms: float) -> None:
         """Suspend starts for a short time after a stall of the process that lasted ``gap_ms``.
 
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from .jobsim import JobSim
+from .jobsim import RESUBMIT_DELAY_MS, JobSim
 
 SEEDS = range(12)
 FAULT_MS = 6_000.0
@@ -247,6 +247,29 @@
     check_invariants(sim)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_entry_that_wakes_up_starts_nothing_at_once(seed: int) -> None:
+    """Frames that waited at the entry led to starts before it noticed that its client was gone."""
+    sim = JobSim(seed, agent_count=2, entry_count=2)
+    sleeper, other = sim.entries
+    sim.run(500)
+    for _ in range(2):
+        sim.submit(other, 5, 150.0)
+    sim.run(20)
+    client = sim.submit(sleeper, 1, 900.0)
+    sim.run(30)
+    sleeper.suspend(1_650.0)
+
+    def resubmit() -> None:
+        client.entry = other
+        sim.after(RESUBMIT_DELAY_MS, client.send)
+
+    client.on_connection_lost = resubmit  # type: ignore[method-assign]
+    sim.after(300.0, client.reset_connection)
+    sim.run(6_000)
+    check_invariants(sim)
+
+
 def main() -> None:
     """Simulate ``--runs`` seeds from ``--seed`` on and print those that violate an invariant."""
     parser = argparse.ArgumentParser(description=main.__doc__)
