--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -48,8 +48,11 @@
 )
 
 ORDER_TIMEOUT_MS = 120.0
-"""Timeout of a start or stop order to the upstream, which answers within a few milliseconds. If a
-start that was executed times out, one more request for the lists of runs shows that it was."""
+"""Timeout of a start order to the upstream, which answers within a few milliseconds. If a start
+that was executed times out, one more request for the lists of runs shows that it was."""
+STOP_TIMEOUT_MS = 40.0
+"""Timeout of a stop order, which is repeated if it gets no answer: each waiting order keeps one of
+the connections to the upstream."""
 POLL_RETRY_MS = 150.0
 """Wait before an unanswered request for the list of runs is repeated."""
 HOLD_WAIT_MS = 100
@@ -229,7 +232,9 @@
         has_runs = bool(self._runs)
         if not has_runs and not self._ack_due and now_ms - self._answered_ms < IDLE_POLL_MS:
             return None
-        renews = has_runs and not self._is_silent(now_ms)
+        # The lease bounds the time for which a run goes on whose stop orders are all late.
+        is_needed = any(not run.stop_reason for run in self._runs.values())
+        renews = is_needed and not self._is_silent(now_ms)
         deadline_ms = (
             self._lease.request_deadline_ms(self._max_lease_ms, now_ms) if renews else None
         )
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -25,7 +25,13 @@
 from .desiredstate import DesiredState, OperatorKeys
 from .directory import JOB_ENTRIES_PREFIX, Directory, EntryAddress
 from .entrysession import SendFrame
-from .executor import HOLD_TIMEOUT_MARGIN_MS, ORDER_TIMEOUT_MS, Executor, LogRecord
+from .executor import (
+    HOLD_TIMEOUT_MARGIN_MS,
+    ORDER_TIMEOUT_MS,
+    STOP_TIMEOUT_MS,
+    Executor,
+    LogRecord,
+)
 from .ids import new_incarnation
 from .log import Log
 from .logbuffer import LogBuffer
@@ -188,7 +194,7 @@
         await self._task.put(self._core.on_start_answer, call, result, clock_ms)
 
     async def _stop(self, call: CallStop) -> None:
-        answered = await self._upstream.stop(call, ORDER_TIMEOUT_MS)
+        answered = await self._upstream.stop(call, STOP_TIMEOUT_MS)
         if not answered:
             self._log.info(
                 "executor", "stop not acknowledged", task=call.task, attempt=call.attempt
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -23,7 +23,7 @@
 
 REGISTRATION_PREFIX = "/snipewell/instances/"
 INSTANCE_HEADER = "Snipewell-Expected-Instance"
-MAX_CONNECTIONS = 24
+MAX_CONNECTIONS = 40
 """Most connections to the upstream, which accepts 64 (``maxConnections``)."""
 T = TypeVar("T")
 
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -17,7 +17,7 @@
 from snipewell.clock import SystemClock
 from snipewell.daemon import RELAXED_TICK_MS, TICK_MS
 from snipewell.entrysession import SendFrame
-from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, ORDER_TIMEOUT_MS, Executor
+from snipewell.executor import HOLD_TIMEOUT_MARGIN_MS, STOP_TIMEOUT_MS, Executor
 from snipewell.ids import ServiceName, UpstreamId
 from snipewell.job import (
     Catalog,
@@ -313,7 +313,7 @@
         answered = self.call_upstream(lambda: self.upstream.stop(call))
         incarnation = self.incarnation
         self.sim.after(
-            1.0 if answered else ORDER_TIMEOUT_MS,
+            1.0 if answered else STOP_TIMEOUT_MS,
             lambda: self.run_in_incarnation(
                 incarnation,
                 lambda: self.core.on_stop_answer(call, answered, self.clock.now_ms()),
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -523,6 +523,21 @@
     assert harness.core.awaits_stop
 
 
+def test_the_lease_is_not_renewed_for_runs_that_are_being_stopped(
+    harness: ExecutorHarness,
+) -> None:
+    """A run whose stop orders are all carried out late went on without any limit."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.answer(harness.start("j/0/1", cpu=1_000))
+    harness.send(StopRun("j/0/0", 1))
+    call = harness.core.next_hold(harness.now)
+    assert call is not None and call.deadline_ms is not None
+    harness.send(StopRun("j/0/1", 1))
+    call = harness.core.next_hold(harness.now)
+    assert call is not None and call.deadline_ms is None
+    assert call.wait_ms > 0
+
+
 def test_an_answered_stop_of_an_earlier_incarnation_does_not_count(
     harness: ExecutorHarness,
 ) -> None:
