--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -69,6 +69,9 @@
 """Time without an answer after which the lease is no longer renewed and no task is started: two or
 three calls in a row were lost then. A call without an answer may still have renewed the lease, so
 the runs of an upstream that is gone could never be given up if the renewal went on."""
+PROCESS_STALL_MS = 300.0
+"""Gap between two ticks that counts as a stall of the process: several times the longest interval
+between them."""
 STALL_MS = 500.0
 """Shortest time without progress after which a run is stopped as stalled."""
 STALL_SHARE = 0.35
@@ -141,6 +144,9 @@
         self._unanswered_since_ms = float("inf")
         """Time at which the first call since the last answer of the upstream was sent."""
         self._silence_noted = False
+        self._last_tick_ms = float("inf")
+        self._resumed_ms = float("-inf")
+        """Time at which the last stall of the process was noticed."""
 
     @property
     def upstream(self) -> Upstream | None:
@@ -589,6 +595,9 @@
 
     def tick(self, now_ms: float) -> None:
         """Process timeouts of sessions, orders and leases, and repeat unacknowledged messages."""
+        if now_ms - self._last_tick_ms >= PROCESS_STALL_MS:
+            self._resumed_ms = now_ms
+        self._last_tick_ms = now_ms
         self._check_upstream(now_ms)
         for key, run in list(self._runs.items()):
             self._check_run(key, run, now_ms)
@@ -614,7 +623,9 @@
         )
         if needs_poll and now_ms - self._poll_sent_ms >= POLL_RETRY_MS:
             self._poll_runs(now_ms)
-        if self._runs and now_ms > self._lease.expired_by_ms():
+        # If the VM was suspended, the clock of the upstream may have stood still as well.
+        answer_by_ms = self._resumed_ms + UPSTREAM_SILENCE_MS
+        if self._runs and now_ms > max(self._lease.expired_by_ms(), answer_by_ms):
             self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
             self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -538,6 +538,24 @@
     assert call.wait_ms > 0
 
 
+def test_runs_are_not_given_up_before_the_upstream_could_answer_after_a_stall(
+    harness: ExecutorHarness,
+) -> None:
+    """A lease may not have expired if the upstream stood still together with its agent."""
+    harness.answer(harness.start())
+    rows = (RunRow("j/0/0", 1, 1.0),)
+    harness.advance(200.0, running=rows)
+    harness.now += 3_000.0
+    harness.core.tick(harness.now)
+    harness.collect_effects()
+    assert harness.core.running == 1
+    # A working upstream answers within this time; one that doesn't has lost its runs.
+    for _ in range(int(UPSTREAM_SILENCE_MS / 20) + 2):
+        harness.now += 20.0
+        harness.core.tick(harness.now)
+    assert harness.core.running == 0
+
+
 def test_an_answered_stop_of_an_earlier_incarnation_does_not_count(
     harness: ExecutorHarness,
 ) -> None:
