--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -30,6 +30,7 @@
     RunEnd,
     StepSpec,
 )
+from snipewell.jobagentd import HOLD_RETRY_MS
 from snipewell.scheduler import Answer, Scheduler
 from snipewell.upstreamcall import (
     CallHold,
@@ -48,6 +49,12 @@
 """Delay before a client submits its job again after a lost connection."""
 STOP_DELAY_MS = 40.0
 """Time from the stop call to the end of the run."""
+DEADLY_DELAY_MS = 5.0
+"""Time from the start of a task that crashes its upstream to the crash."""
+RESTART_MS = 3_000.0
+"""Time from the crash of an upstream under a task to the start of its next incarnation."""
+HEARTBEAT_DELAY_MS = 50.0
+"""Time from the start of an incarnation of an upstream to its first heartbeat at the agent."""
 MAX_HOLD_MS = 1_000.0
 """Longest lease that an upstream grants on its runs, by its own clock."""
 
@@ -97,6 +104,8 @@
         self.fails = False
         self.silent = False
         """Set after a silent crash: the upstream answers no call and runs nothing."""
+        self.down = False
+        """Set between a crash and the restart: the address of the upstream refuses connections."""
         self.deferred_call_share = 0.0
         self.waiters: list[tuple[float, Callable[[], None]]] = []
 
@@ -146,7 +155,9 @@
             return StartResult.STALE_ATTEMPT
         record = RunRecord(call.task, call.attempt, self.name, self.sim.now)
         self.sim.records.append(record)
-        self.running[key] = ActiveRun(record, self.sim.work_of(call.task))
+        run = self.running[key] = ActiveRun(record, self.sim.work_of(call.task))
+        if call.task.split("/")[0] in self.sim.deadly_jobs:
+            self.sim.after(self.sim.deadly_delay_ms, lambda: self.crash_under(key, run))
         return StartResult.STARTED
 
     def hold_until(self, deadline_ms: float) -> None:
@@ -184,6 +195,29 @@
         self.deadline_ms = 0.0
         self.born_ms = int(self.sim.now)
 
+    def crash_under(self, key: tuple[str, int], run: ActiveRun) -> None:
+        """Crash if ``run`` is still in progress, and restart as a new incarnation later."""
+        if self.running.get(key) is not run:
+            return
+        waiters = list(self.waiters)
+        self.crash()
+        self.down = True
+        # The connections of outstanding calls break.
+        for _, answer in waiters:
+            answer()
+        self.sim.after(RESTART_MS, self.restart)
+
+    def restart(self) -> None:
+        self.down = False
+        self.born_ms = int(self.sim.now)
+        agent = next(agent for agent in self.sim.agents if agent.upstream is self)
+
+        def register() -> None:
+            if not self.down:
+                agent.run_or_defer(lambda: agent.core.on_heartbeat(self.describe(), self.sim.now))
+
+        self.sim.after(HEARTBEAT_DELAY_MS, register)
+
 
 class SimAgent:
     """An agent on the VM of an upstream.
@@ -204,6 +238,7 @@
         self.incarnation = f"{self.upstream.name}.{self.incarnation_count}"
         self.core = Executor(self.upstream.name, self.incarnation, int(self.sim.now), MAX_HOLD_MS)
         self.holding = False
+        self.next_hold_at_ms = 0.0
         for entry in self.sim.entries:
             self.core.entries.connect(entry.name, self.sim.now)
         self.core.on_heartbeat(self.upstream.describe(), self.sim.now)
@@ -244,7 +279,7 @@
 
     def perform(self) -> None:
         now = self.sim.now
-        if not self.holding:
+        if not self.holding and now >= self.next_hold_at_ms:
             hold = self.core.next_hold(now)
             if hold is not None:
                 self.holding = True
@@ -264,9 +299,9 @@
     def call_upstream(self, execute: Callable[[], object]) -> bool:
         """Execute a call now or, unanswered, 2 to 6 s later; return whether it ran now.
 
-        A silent upstream never executes it.
+        An upstream that is silent or down never executes it.
         """
-        if self.upstream.silent:
+        if self.upstream.silent or self.upstream.down:
             return False
         if self.sim.rng.random() < self.upstream.deferred_call_share:
             self.sim.after(self.sim.rng.uniform(2_000, 6_000), execute)
@@ -276,16 +311,21 @@
 
     def start(self, call: CallStart) -> None:
         results: list[StartResult] = []
+        refused = self.upstream.down
         answered = self.call_upstream(lambda: results.append(self.upstream.start(call)))
         incarnation = self.incarnation
 
         def answer() -> None:
-            result = results[0] if answered else StartResult.UNANSWERED
-            clock = self.upstream.clock_ms() if answered else None
+            result, clock = StartResult.UNANSWERED, None
+            if refused:
+                result = StartResult.NOT_SENT
+            elif answered and not self.upstream.down:
+                result, clock = results[0], self.upstream.clock_ms()
             self.core.on_start_answer(call, result, clock, self.sim.now)
 
         self.sim.after(
-            1.0 if answered else 250.0, lambda: self.run_in_incarnation(incarnation, answer)
+            1.0 if answered or refused else 250.0,
+            lambda: self.run_in_incarnation(incarnation, answer),
         )
 
     def hold(self, call: CallHold, regular: bool) -> None:
@@ -303,6 +343,14 @@
                 ),
             )
             return
+        if upstream.down:
+            self.sim.after(
+                0.5,
+                lambda: self.run_in_incarnation(
+                    incarnation, lambda: self.finish_refused_hold(call, regular)
+                ),
+            )
+            return
         if call.fence < upstream.fence:
             self.sim.after(
                 1.0,
@@ -316,7 +364,7 @@
             upstream.hold_until(call.deadline_ms)
 
         def answer() -> None:
-            runs = upstream.list_runs(call)
+            runs = None if upstream.down else upstream.list_runs(call)
             self.sim.after(
                 0.5,
                 lambda: self.run_in_incarnation(
@@ -333,8 +381,13 @@
         self.holding = self.holding and not regular
         self.core.on_hold_fenced(call, self.sim.now)
 
+    def finish_refused_hold(self, call: CallHold, regular: bool) -> None:
+        self.finish_hold(call, None, regular)
+
     def finish_hold(self, call: CallHold, runs: RunLists | None, regular: bool) -> None:
         self.holding = self.holding and not regular
+        if runs is None:
+            self.next_hold_at_ms = self.sim.now + HOLD_RETRY_MS
         self.core.on_hold(call, runs, self.sim.now)
 
     def kill(self) -> None:
@@ -487,6 +540,9 @@
             latency_ms=60,
         )
         self.work: dict[str, float] = {}
+        self.deadly_jobs: set[str] = set()
+        """Jobs each of whose tasks crashes the upstream that starts it."""
+        self.deadly_delay_ms = DEADLY_DELAY_MS
         self.heap: list[tuple[float, int, Callable[[], object]]] = []
         self.scheduled = 0
         self.cut_links: set[tuple[str, str]] = set()
@@ -513,9 +569,11 @@
         self.agents.append(SimAgent(self, upstream))
         return self.agents[-1]
 
-    def submit(self, entry: SimEntry, tasks: int, work_ms: float) -> Client:
+    def submit(self, entry: SimEntry, tasks: int, work_ms: float, deadly: bool = False) -> Client:
         job = JobId(f"job{len(self.clients)}")
         self.work[job] = work_ms
+        if deadly:
+            self.deadly_jobs.add(job)
         estimate = work_ms * self.rng.uniform(0.7, 1.4)
         spec = JobSpec(
             job, "spec", (StepSpec(tasks, ResourceVector(2_000, 10), estimate),), durable=False
@@ -596,6 +654,23 @@
                     pairs.append((first, second))
         return pairs
 
+    def starts_after_crashes(self, crashes: int) -> list[RunRecord]:
+        """Return the runs that started after ``crashes`` upstreams had crashed under their task."""
+        ends: dict[str, list[float]] = {}
+        for record in self.records:
+            if record.how == "crashed" and record.end_ms is not None:
+                ends.setdefault(record.task, []).append(record.end_ms)
+        limits = {
+            task: sorted(times)[crashes - 1]
+            for task, times in ends.items()
+            if len(times) >= crashes
+        }
+        return [
+            record
+            for record in self.records
+            if record.start_ms > limits.get(record.task, float("inf"))
+        ]
+
     def unanswered(self) -> list[Client]:
         """Return the clients that neither gave up nor received an outcome."""
         return [c for c in self.clients if c.outcome is None and not c.gave_up]
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 
 import pytest
 
-from .jobsim import JobSim
+from snipewell.job import JobEnded, JobState
+
+from .jobsim import Client, JobSim
 
 SEEDS = range(12)
 FAULT_MS = 6_000.0
@@ -194,6 +196,62 @@
     check_invariants(simulate(seed + 1_000, rng.sample(list(FAULTS), 3)))
 
 
+def simulate_deadly_job(seed: int, tasks: int, entry_killed: bool) -> tuple[JobSim, Client]:
+    """Run a fleet under a light load with one job whose tasks crash their upstreams.
+
+    With ``entry_killed``, the entry that owns the job is killed at random times, and the client
+    submits the job again at any entry.
+    """
+    sim = JobSim(seed, agent_count=8)
+    rng = Random(seed * 11 + 3)
+    sim.run(500)
+    for _ in range(30):
+        at, entry = rng.uniform(0, FAULT_MS), rng.choice(sim.entries)
+        count, work = rng.choice([1, 1, 2]), rng.choice([100.0, 300.0, 900.0])
+        sim.after(at, lambda e=entry, t=count, w=work: sim.submit(e, t, w))  # type: ignore[misc]
+    sim.run(1_000)
+    client = sim.submit(rng.choice(sim.entries), tasks, 300.0, deadly=True)
+
+    def kill_owner() -> None:
+        if client.outcome is None:
+            client.entry.kill()
+
+    if entry_killed:
+        for _ in range(3):
+            sim.after(rng.uniform(5, 3_000), kill_owner)
+    sim.run(FAULT_MS)
+    for _ in range(50):
+        if sim.is_idle():
+            break
+        sim.run(500)
+    return sim, client
+
+
+def simulate_deadly_jobs() -> Iterator[tuple[JobSim, Client]]:
+    for seed in SEEDS:
+        for entry_killed in (False, True):
+            yield simulate_deadly_job(seed, 1 + seed % 2, entry_killed)
+
+
+def test_task_that_crashes_upstreams_is_given_up() -> None:
+    """Guards against a task that crashes one upstream after the other without an end."""
+    for sim, client in simulate_deadly_jobs():
+        case = f"seed {sim.seed}"
+        assert sim.starts_after_crashes(3) == [], case
+        assert isinstance(client.outcome, JobEnded), case
+        assert client.outcome.state is JobState.FAILED, case
+        check_invariants(sim)
+
+
+def test_jobs_beside_a_task_that_crashes_upstreams_complete() -> None:
+    """Guards against jobs that fail because their tasks ran beside one that crashes upstreams."""
+    for sim, client in simulate_deadly_jobs():
+        outcomes = {other.job: other.outcome for other in sim.clients if other is not client}
+        completed = JobEnded(JobState.COMPLETED)
+        assert {job: end for job, end in outcomes.items() if end != completed} == {}, sim.seed
+        check_invariants(sim)
+
+
 def main() -> None:
     """Simulate ``--runs`` seeds from ``--seed`` on and print those that violate an invariant."""
     parser = argparse.ArgumentParser(description=main.__doc__)
