--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -11,6 +11,10 @@
 orders with a lower token than the highest it has seen. After an unanswered start, the executor
 raises the token and fetches the upstream's list of runs: once it has the list, the start has either
 been executed or never will be.
+
+If the address of the upstream refuses a connection, no process listens there. The runs whose start
+was sent before that call have ended with the process, and the executor polls for the next
+incarnation.
 """
 
 from __future__ import annotations
@@ -136,6 +140,8 @@
         self._unanswered_since_ms = float("inf")
         """Time at which the first call since the last answer of the upstream was sent."""
         self._silence_noted = False
+        self._down_since_ms: float | None = None
+        """Time at which the address of the upstream was found to refuse connections, or None."""
 
     @property
     def upstream(self) -> Upstream | None:
@@ -170,6 +176,7 @@
             return
         self._note("upstream deregistered", upstream=self._upstream.upstream, reason=reason)
         self._upstream = None
+        self._down_since_ms = None
         self._drop_runs(reason, now_ms)
         self.entries.report(now_ms)
 
@@ -197,6 +204,7 @@
         self._ack_due = False
         self._unhealthy_until_ms = float("-inf")
         self._unanswered_since_ms = float("inf")
+        self._down_since_ms = None
         self._poll_runs(now_ms)
 
     def _drop_runs(self, reason: str, now_ms: float) -> None:
@@ -219,6 +227,8 @@
         """
         if self._upstream is None or not self._reconciled or not self._lease.is_synced:
             return None
+        if self._down_since_ms is not None:
+            return None
         has_runs = bool(self._runs)
         if not has_runs and not self._ack_due and now_ms - self._answered_ms < IDLE_POLL_MS:
             return None
@@ -244,6 +254,10 @@
         if runs.born_ms is not None and runs.born_ms != self._upstream.born_ms:
             self._on_upstream_restart(runs.born_ms, now_ms)
             return
+        if self._down_since_ms is not None:
+            if call.sent_ms > self._down_since_ms:
+                self._on_listener_back(now_ms)
+            return
         first = not self._lease.is_synced
         self._lease.observe(runs.clock_ms, now_ms)
         if first:
@@ -264,6 +278,49 @@
             self._reconciled = True
             self.entries.report(now_ms)
 
+    def on_hold_refused(self, call: CallHold, now_ms: float) -> None:
+        """Process a ``call`` that the upstream's address refused."""
+        if self._upstream is None or not is_same_incarnation(call, self._upstream):
+            return
+        if self._may_be_starting_or_leaving(self._upstream):
+            self.on_hold(call, None, now_ms)
+        else:
+            self._on_no_listener(call.sent_ms, now_ms)
+
+    def _may_be_starting_or_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream without a listener may be alive.
+
+        It may register before it listens, and stop listening before its last runs have ended.
+        """
+        return upstream.draining or not self._lease.is_synced
+
+    def _on_no_listener(self, sent_ms: float, now_ms: float) -> None:
+        """End the runs of an upstream whose address refused a call sent at ``sent_ms``.
+
+        A start that was sent later may have reached the next incarnation; its own answer decides.
+        """
+        assert self._upstream is not None
+        lost = [key for key, run in self._runs.items() if run.start_sent_ms < sent_ms]
+        if self._down_since_ms is None:
+            self._down_since_ms = now_ms
+            self._unanswered_since_ms = float("inf")
+            self._note(
+                "no listener at the upstream", upstream=self._upstream.upstream, runs=len(lost)
+            )
+        for key in lost:
+            self._finish(key, RunEnd.LOST, "no listener at the upstream", now_ms)
+        self.entries.report(now_ms)
+
+    def _on_listener_back(self, now_ms: float) -> None:
+        """Reconcile the runs again after the same incarnation answered a later call."""
+        assert self._upstream is not None
+        self._note("upstream answers again", upstream=self._upstream.upstream, runs=len(self._runs))
+        self._down_since_ms = None
+        self._reconciled = False
+        self._fence += 1
+        self._poll_runs(now_ms)
+        self.entries.report(now_ms)
+
     def on_hold_fenced(self, call: CallHold, now_ms: float) -> None:
         """Raise the fencing token after the upstream refused ``call`` for a token below its own."""
         self._unanswered_since_ms = float("inf")
@@ -402,7 +459,7 @@
             return "draining"
         if upstream.zone in self._zones_out:
             return "the zone is out of service"
-        if now_ms < self._unhealthy_until_ms:
+        if now_ms < self._unhealthy_until_ms or self._down_since_ms is not None:
             return "the upstream is unhealthy"
         if self._is_silent(now_ms):
             return "the upstream doesn't answer"
@@ -491,13 +548,27 @@
                     self._raise_fence()
                 run.retried = True
                 self._call_start(run, now_ms)
-            case StartResult.UNHEALTHY | StartResult.OTHER_INSTANCE | StartResult.NOT_SENT:
+            case (
+                StartResult.UNHEALTHY
+                | StartResult.OTHER_INSTANCE
+                | StartResult.NO_LISTENER
+                | StartResult.NOT_SENT
+            ):
                 self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
                 self.entries.report(now_ms)
+                if result is StartResult.NO_LISTENER:
+                    self._on_start_refused(call, run, now_ms)
             case _:
                 self._finish(key, RunEnd.REJECTED, result.value, now_ms)
 
+    def _on_start_refused(self, call: CallStart, run: Run, now_ms: float) -> None:
+        upstream = self._upstream
+        if upstream is None or not is_same_incarnation(call, upstream):
+            return
+        if not self._may_be_starting_or_leaving(upstream):
+            self._on_no_listener(run.start_sent_ms, now_ms)
+
     def _may_retry(self, run: Run, now_ms: float) -> bool:
         """Return whether a refused start may be sent again: once, within ``ORDER_TIMEOUT_MS``.
 
@@ -583,8 +654,10 @@
             )
             self._note(text, upstream=self._upstream.upstream, runs=len(self._runs))
             self.entries.report(now_ms)
-        needs_poll = not self._reconciled or any(
-            run.state is RunState.INDETERMINATE for run in self._runs.values()
+        needs_poll = (
+            not self._reconciled
+            or self._down_since_ms is not None
+            or any(run.state is RunState.INDETERMINATE for run in self._runs.values())
         )
         if needs_poll and now_ms - self._poll_sent_ms >= POLL_RETRY_MS:
             self._poll_runs(now_ms)
@@ -628,7 +701,9 @@
             self._free(),
             list(upstream.labels),
             upstream.draining or self._draining or upstream.zone in self._zones_out,
-            now_ms >= self._unhealthy_until_ms and not self._is_silent(now_ms),
+            now_ms >= self._unhealthy_until_ms
+            and self._down_since_ms is None
+            and not self._is_silent(now_ms),
             self.entries.open_count,
             self._slowness(now_ms),
         )
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -205,6 +205,9 @@
                 await self._task.put(self._core.on_hold, call, answer)
             case StartResult.FENCED:
                 await self._task.put(self._core.on_hold_fenced, call)
+            case StartResult.NO_LISTENER:
+                self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
+                await self._task.put(self._core.on_hold_refused, call)
             case _:
                 self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
                 self._log.info("executor", "no lists of runs received", reason=answer.value)
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -168,8 +168,8 @@
         }
         try:
             response = await self._call(call.upstream, "run-start", body, timeout_ms)
-        except NotSentError:
-            return StartResult.NOT_SENT, None
+        except NotSentError as error:
+            return _to_start_result(error), None
         except ExchangeError:
             return StartResult.UNANSWERED, None
         decoded = _decode(response, _Answer)
@@ -211,8 +211,8 @@
             body["waitMs"] = call.wait_ms
         try:
             response = await self._call(call.upstream, "hold", body, timeout_ms + call.wait_ms)
-        except NotSentError:
-            return StartResult.NOT_SENT
+        except NotSentError as error:
+            return _to_start_result(error)
         except ExchangeError:
             return StartResult.UNANSWERED
         if response.status == 409:
@@ -235,6 +235,12 @@
             await pool.close()
 
 
+def _to_start_result(error: NotSentError) -> StartResult:
+    """Tell a refused connection from the other failures before the first byte was sent."""
+    refused = isinstance(error.__cause__, ConnectionRefusedError)
+    return StartResult.NO_LISTENER if refused else StartResult.NOT_SENT
+
+
 def _decode(response: Response, kind: type[T]) -> T | None:
     try:
         return msgspec.json.decode(response.body, type=kind)
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -30,7 +30,7 @@
     healthy: bool = True
     """False for `UNHEALTHY_MS`, or until a new incarnation registers, after a start could not be
     sent or was refused as unhealthy or as addressed to another instance, or after the lease expired
-    without an answer."""
+    without an answer. False also while the upstream's address refuses connections."""
     entries: int = 1
     """Number of entries with a session at the agent, which share the upstream."""
     slowness: float = 1.0
--- a/snipewell/upstreamcall.py
+++ b/snipewell/upstreamcall.py
@@ -72,6 +72,8 @@
     UNHEALTHY = "unhealthy"
     OTHER_INSTANCE = "instance"
     """The address belongs to an upstream with another ID."""
+    NO_LISTENER = "no listener"
+    """The upstream's address refused the connection: no process listens there."""
     NOT_SENT = "not sent"
     UNANSWERED = "unanswered"
 
@@ -118,6 +120,6 @@
     sent_ms: float
 
 
-def is_same_incarnation(call: CallHold, upstream: Upstream) -> bool:
+def is_same_incarnation(call: CallHold | CallStart, upstream: Upstream) -> bool:
     """Return whether ``call`` was addressed to the incarnation that ``upstream`` describes."""
     return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -318,7 +318,7 @@
         def answer() -> None:
             result, clock = StartResult.UNANSWERED, None
             if refused:
-                result = StartResult.NOT_SENT
+                result = StartResult.NO_LISTENER
             elif answered and not self.upstream.down:
                 result, clock = results[0], self.upstream.clock_ms()
             self.core.on_start_answer(call, result, clock, self.sim.now)
@@ -382,7 +382,9 @@
         self.core.on_hold_fenced(call, self.sim.now)
 
     def finish_refused_hold(self, call: CallHold, regular: bool) -> None:
-        self.finish_hold(call, None, regular)
+        self.holding = self.holding and not regular
+        self.next_hold_at_ms = self.sim.now + HOLD_RETRY_MS
+        self.core.on_hold_refused(call, self.sim.now)
 
     def finish_hold(self, call: CallHold, runs: RunLists | None, regular: bool) -> None:
         self.holding = self.holding and not regular
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -28,6 +28,7 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamReport,
     ZoneNotice,
 )
 from snipewell.upstreamcall import (
@@ -186,6 +187,120 @@
     assert harness.now - 1_000.0 < 1_300.0 - STOP_RETRY_MS
 
 
+def refuse_poll(harness: ExecutorHarness) -> CallHold:
+    """Refuse the connection of the latest request for the lists of runs."""
+    call = next(call for call in reversed(harness.calls) if isinstance(call, CallHold))
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    return call
+
+
+def refuse_hold(harness: ExecutorHarness) -> CallHold:
+    """Refuse the connection of the next long-poll call."""
+    call = harness.core.next_hold(harness.now)
+    assert call is not None
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    return call
+
+
+def last_report(harness: ExecutorHarness) -> UpstreamReport:
+    return next(b.report for b in reversed(harness.bodies) if isinstance(b, Report))
+
+
+def test_runs_of_an_upstream_without_a_listener_end_at_once(harness: ExecutorHarness) -> None:
+    """Guards against tasks that wait for the lease of an upstream that has crashed."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert harness.ends() == [("j/0/0", 1, "lost", "no listener at the upstream")]
+    assert not last_report(harness).healthy
+    assert harness.core.next_hold(harness.now) is None
+    harness.advance(2_000.0)
+    refuse_poll(harness)
+    assert not last_report(harness).healthy
+    harness.send(StartRun("j/0/1", 1, "spec", ResourceVector(1, 1), 400.0))
+    assert harness.ends()[-1][2:] == ("rejected", "the upstream is unhealthy")
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    call = next(call for call in reversed(harness.calls) if isinstance(call, CallHold))
+    harness.core.on_hold(call, RunLists(harness.now, 5_000, (), ()), harness.now)
+    harness.collect_effects()
+    harness.advance(20.0)
+    assert last_report(harness).healthy
+
+
+def test_a_refused_call_to_an_earlier_incarnation_ends_no_run(harness: ExecutorHarness) -> None:
+    """Guards against runs of a restarted upstream that are ended by a late result."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    late = harness.core.next_hold(harness.now)
+    assert late is not None
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.core.on_hold_refused(late, harness.now)
+    harness.collect_effects()
+    assert harness.ends() == []
+    assert harness.core.running == 1
+
+
+def test_a_start_sent_after_a_refused_call_waits_for_its_own_answer(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against overlapping runs when the next incarnation has taken the later start."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.now += 40.0
+    call = harness.core.next_hold(harness.now)
+    assert call is not None
+    harness.now += 5.0
+    later = harness.start("j/0/1", cpu=1_000)
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    assert [end[0] for end in harness.ends()] == ["j/0/0"]
+    harness.answer(later)
+    assert harness.core.running == 1
+
+
+def test_a_refused_start_is_rejected_and_ends_the_earlier_runs(harness: ExecutorHarness) -> None:
+    """Guards against a start counted as lost on an upstream that it can't have reached."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.now += 40.0
+    harness.answer(harness.start("j/0/1", cpu=1_000), StartResult.NO_LISTENER)
+    assert [(task, how) for task, _, how, _ in harness.ends()] == [
+        ("j/0/1", "rejected"),
+        ("j/0/0", "lost"),
+    ]
+
+
+def test_runs_of_a_draining_upstream_without_a_listener_keep_their_lease(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against overlapping runs if a leaving upstream closes its listener first."""
+    harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert harness.ends() == []
+
+
+def test_an_upstream_that_answers_again_is_reconciled_first(harness: ExecutorHarness) -> None:
+    """Guards against starts beside runs that were ended although their upstream lived on."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    early = harness.core.next_hold(harness.now)
+    assert early is not None
+    refuse_hold(harness)
+    rows = (RunRow("j/0/0", 1, 1.0),)
+    harness.core.on_hold(early, RunLists(harness.now, 1_000, rows, ()), harness.now)
+    harness.collect_effects()
+    assert harness.core.next_hold(harness.now) is None
+    harness.advance(160.0)
+    harness.answer_poll(rows)
+    harness.answer_poll(rows)
+    assert isinstance(harness.calls[-1], CallStop)
+    harness.send(StartRun("j/0/1", 1, "spec", ResourceVector(1, 1), 400.0))
+    assert harness.ends()[-1][2:] == ("rejected", "no upstream")
+
+
 def test_orders_of_an_ended_session_start_nothing(harness: ExecutorHarness) -> None:
     """A frame delayed by a network partition arrives after its session has ended."""
     assert harness.channel is not None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import base64
+import socket
+import threading
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import TypeVar
@@ -20,7 +22,7 @@
 from snipewell.clock import SystemClock
 from snipewell.desiredstate import CatalogError
 from snipewell.errors import SettingsError
-from snipewell.ids import Revision
+from snipewell.ids import Revision, UpstreamId
 from snipewell.job import (
     Catalog,
     JobEnded,
@@ -35,6 +37,7 @@
     ResourceVector,
     RunEnd,
 )
+from snipewell.listener import open_listener
 from snipewell.log import Log
 from snipewell.platform.boot import parse_boot_settings
 from snipewell.platform.configuration import decode_catalog, zone_out_of_service
@@ -50,6 +53,7 @@
 from snipewell.platform.store import PlatformStore
 from snipewell.platform.upstream import (
     RegistrationError,
+    UpstreamClient,
     _Runs,
     _to_runs,
     decode_heartbeat,
@@ -59,6 +63,7 @@
 )
 from snipewell.standins.metadata import PAGE_SIZE, MetadataStore, StoreFaults
 from snipewell.store import Listing, PrefixWatcher, StoreUnreachableError
+from snipewell.upstreamcall import CallHold, CallStart, StartResult, Upstream
 from snipewell.web import Request
 
 T = TypeVar("T")
@@ -311,6 +316,41 @@
     assert [(row.number, row.end) for row in runs.ended] == [(58, RunEnd.DONE), (59, RunEnd.LOST)]
 
 
+def call_upstream(address: str) -> tuple[StartResult, object]:
+    """Return the results of a start and of a hold call to an upstream at ``address``."""
+    upstream = Upstream(UpstreamId("u1"), 1, "svc", "z1", address, ResourceVector())
+
+    async def main() -> tuple[StartResult, object]:
+        client = UpstreamClient()
+        try:
+            call = CallStart(upstream, "j/0/0", 1, "spec", 1_000, 1)
+            started, _ = await client.start(call, 1_000.0)
+            return started, await client.hold(CallHold(upstream, None, 1, 0, 0, 0.0), 1_000.0)
+        finally:
+            await client.close()
+
+    result: tuple[StartResult, object] = curio.run(main)
+    return result
+
+
+def test_only_a_refused_connection_shows_that_no_process_listens() -> None:
+    """Guards against runs given up on an upstream whose connections failed in another way."""
+    with open_listener("127.0.0.1", 0) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        threading.Thread(target=close_connections, args=(listener, 2), daemon=True).start()
+        assert call_upstream(address) == (StartResult.UNANSWERED, StartResult.UNANSWERED)
+    assert call_upstream(address) == (StartResult.NO_LISTENER, StartResult.NO_LISTENER)
+    assert call_upstream("127.0.0.1:no-port") == (StartResult.NOT_SENT, StartResult.NOT_SENT)
+
+
+def close_connections(listener: socket.socket, count: int) -> None:
+    """Accept ``count`` connections and close each after its first bytes."""
+    listener.settimeout(5.0)
+    for _ in range(count):
+        with listener.accept()[0] as connection:
+            connection.recv(65_536)
+
+
 class FakeAgent:
     def __init__(self) -> None:
         self.received: list[object] = []
