--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -26,6 +26,7 @@
     RunEnded,
     RunSlow,
     StartRun,
+    UpstreamCrash,
     ZoneNotice,
 )
 
@@ -83,7 +84,15 @@
     slow: RunSlow
 
 
-SessionEvent = AgentSessionEnded | AgentRunEnded | AgentRunSlow
+@dataclass(frozen=True, slots=True)
+class AgentUpstreamCrashed:
+    """Event: the upstream of the agent crashed; the ends of its runs follow."""
+
+    view: AgentView
+    crash: UpstreamCrash
+
+
+SessionEvent = AgentSessionEnded | AgentRunEnded | AgentRunSlow | AgentUpstreamCrashed
 
 
 class AgentSessions:
@@ -204,12 +213,10 @@
         self, view: AgentView, body: object, acked: int, now_ms: float
     ) -> list[SessionEvent]:
         match body:
-            case Hello():
-                view.apply_report(body.report, acked)
-                return self._close_earlier_incarnations(view)
-            case Report():
+            case Hello() | Report():
                 view.apply_report(body.report, acked)
-                return self._close_earlier_incarnations(view)
+                crashes = [AgentUpstreamCrashed(view, crash) for crash in body.crashes]
+                return [*crashes, *self._close_earlier_incarnations(view)]
             case RunEnded():
                 view.runs -= 1
                 if body.free is not None:
--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from .channel import Channel, ChannelFullError, name_session
+from .crashes import RecentCrashes
 from .job import ResourceVector
 from .offers import Offers
 from .runmessage import (
@@ -26,6 +27,7 @@
     Goodbye,
     Hello,
     Report,
+    UpstreamCrash,
     UpstreamReport,
 )
 
@@ -114,6 +116,7 @@
         self._send_frame = send
         self._on_end = on_end
         self._offers = Offers()
+        self._crashes = RecentCrashes()
         self._peers: dict[str, _Peer] = {}
         self._silent: list[str] = []
         self._opened = 0
@@ -203,7 +206,8 @@
         state.channel = Channel(name_session(self._incarnation, self._opened), now_ms)
         state.reported = replace(self._describe(now_ms), free=ResourceVector())
         state.reported_ms = now_ms
-        self._send(peer, Hello(self._agent, state.reported), now_ms)
+        crashes = self._crashes.list_recent(now_ms)
+        self._send(peer, Hello(self._agent, state.reported, crashes), now_ms)
 
     def _end(self, peer: str, reason: str, now_ms: float) -> None:
         state = self._peers[peer]
@@ -293,6 +297,20 @@
         else:
             self._send(peer, Report(report), now_ms)
 
+    def report_crash(self, crash: UpstreamCrash, now_ms: float) -> None:
+        """Report a crash of the upstream and its state to all entries.
+
+        New sessions within the retention time begin with the crash, so that an entry which starts
+        later or gets a job of another entry knows it.
+        """
+        self._crashes.add(crash, now_ms)
+        report = self._describe(now_ms)
+        for peer, state in self._peers.items():
+            if state.channel is not None:
+                free = self._find_free(peer, report.free, now_ms)
+                state.reported, state.reported_ms = replace(report, free=free), now_ms
+                self._send(peer, Report(state.reported, [crash]), now_ms)
+
     def use_offer(self, peer: str, resources: ResourceVector) -> None:
         """Deduct ``resources`` from the offer to the entry ``peer``, which has started a task."""
         self._offers.take(peer, resources)
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -35,6 +35,7 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamCrash,
     UpstreamReport,
     ZoneNotice,
 )
@@ -105,6 +106,8 @@
     indeterminate: int = 0
     stalled: int = 0
     timed_out_sessions: int = 0
+    crashes: int = 0
+    """Crashes of the upstream."""
     ends: dict[str, int] = field(default_factory=dict)
 
 
@@ -140,6 +143,9 @@
         self._unanswered_since_ms = float("inf")
         """Time at which the first call since the last answer of the upstream was sent."""
         self._silence_noted = False
+        self._expired: set[str] = set()
+        """Tasks of runs that were ended by the expiry of the lease of the present incarnation, of
+        which it isn't known yet whether it has crashed."""
         self._down_since_ms: float | None = None
         """Time at which the address of the upstream was found to refuse connections, or None."""
 
@@ -177,6 +183,7 @@
         self._note("upstream deregistered", upstream=self._upstream.upstream, reason=reason)
         self._upstream = None
         self._down_since_ms = None
+        self._expired.clear()
         self._drop_runs(reason, now_ms)
         self.entries.report(now_ms)
 
@@ -187,6 +194,9 @@
             born_ms=upstream.born_ms,
             draining=upstream.draining,
         )
+        self._reconciled = False
+        if self._upstream is not None and self._is_crash(self._upstream, upstream):
+            self._on_crash(list(self._runs.values()), now_ms)
         if self._upstream is not None and self._upstream.upstream == upstream.upstream:
             # A start may have reached the new incarnation before its first heartbeat came here.
             for run in self._runs.values():
@@ -197,7 +207,6 @@
         self._upstream = upstream
         # Invalidates orders to an earlier incarnation that this one may still execute.
         self._fence += 1
-        self._reconciled = False
         self._lease.reset()
         self._speed.clear()
         self._acked = 0
@@ -205,8 +214,34 @@
         self._unhealthy_until_ms = float("-inf")
         self._unanswered_since_ms = float("inf")
         self._down_since_ms = None
+        self._expired.clear()
         self._poll_runs(now_ms)
 
+    def _is_crash(self, previous: Upstream, upstream: Upstream) -> bool:
+        """Return whether ``previous`` crashed, and that is new, if ``upstream`` replaces it."""
+        same = (previous.upstream, previous.born_ms) == (upstream.upstream, upstream.born_ms)
+        return not same and not previous.draining and self._down_since_ms is None
+
+    def _on_crash(self, runs: list[Run], now_ms: float) -> None:
+        """Report the crash of the present incarnation, which ended ``runs``."""
+        assert self._upstream is not None
+        upstream = self._upstream
+        tasks = set(self._expired)
+        for run in runs:
+            if not run.in_crash:
+                run.in_crash = True
+                tasks.add(run.order.task)
+        self._expired.clear()
+        self.counters.crashes += 1
+        self._note(
+            "upstream crashed",
+            upstream=upstream.upstream,
+            born_ms=upstream.born_ms,
+            runs=len(tasks),
+        )
+        crash = UpstreamCrash(f"{upstream.upstream}@{upstream.born_ms}", sorted(tasks))
+        self.entries.report_crash(crash, now_ms)
+
     def _drop_runs(self, reason: str, now_ms: float) -> None:
         for key in list(self._runs):
             self._finish(key, RunEnd.LOST, reason, now_ms)
@@ -258,6 +293,8 @@
             if call.sent_ms > self._down_since_ms:
                 self._on_listener_back(now_ms)
             return
+        if runs.born_ms is not None:
+            self._expired.clear()
         first = not self._lease.is_synced
         self._lease.observe(runs.clock_ms, now_ms)
         if first:
@@ -304,9 +341,7 @@
         if self._down_since_ms is None:
             self._down_since_ms = now_ms
             self._unanswered_since_ms = float("inf")
-            self._note(
-                "no listener at the upstream", upstream=self._upstream.upstream, runs=len(lost)
-            )
+            self._on_crash([self._runs[key] for key in lost], now_ms)
         for key in lost:
             self._finish(key, RunEnd.LOST, "no listener at the upstream", now_ms)
         self.entries.report(now_ms)
@@ -389,6 +424,7 @@
         if row is not None:
             if run.state is not RunState.RUNNING:
                 run.state = RunState.RUNNING
+                run.in_crash = False
                 run.last_progress_ms = now_ms
             if row.percent > run.percent:
                 run.percent = row.percent
@@ -663,6 +699,7 @@
             self._poll_runs(now_ms)
         if self._runs and now_ms > self._lease.expired_by_ms():
             self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
+            self._expired.update(task for task, _ in self._runs)
             self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
 
     def _check_run(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -143,6 +143,7 @@
         self.metrics.gauge("rejected_starts", lambda: counters.rejected)
         self.metrics.gauge("unclear_starts", lambda: counters.indeterminate)
         self.metrics.gauge("stalled_runs", lambda: counters.stalled)
+        self.metrics.gauge("upstream_crashes", lambda: counters.crashes)
         self.metrics.gauge("silent_owners", lambda: counters.timed_out_sessions)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -57,6 +57,8 @@
     retried: bool = False
     end_if_unlisted: RunEnd = RunEnd.REJECTED
     """How the run ends if its start is indeterminate and the upstream doesn't list it."""
+    in_crash: bool = False
+    """True after the crash of the incarnation that ran it was reported, until another lists it."""
     stop_reason: str = ""
     stop_sent_ms: float = float("-inf")
 
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -49,17 +49,34 @@
 """Report of an agent without a usable upstream."""
 
 
-class Hello(msgspec.Struct, tag="hello", frozen=True):
-    """First message of a session: the agent has no runs of its earlier sessions any more."""
+class UpstreamCrash(msgspec.Struct, frozen=True):
+    """Crash of an incarnation of the upstream.
+
+    ``crash`` is its id and ``tasks`` holds the names of the tasks that ran there, or whose start
+    had no answer. It travels in a field of other messages: a decoder of an earlier version ignores
+    unknown fields, but not unknown messages.
+    """
+
+    crash: str
+    tasks: list[str]
+
+
+class Hello(msgspec.Struct, tag="hello", frozen=True, omit_defaults=True):
+    """First message of a session: the agent has no runs of its earlier sessions any more.
+
+    ``crashes`` holds the recent crashes of the upstream.
+    """
 
     agent: str
     report: UpstreamReport
+    crashes: list[UpstreamCrash] = []
 
 
-class Report(msgspec.Struct, tag="report", frozen=True):
-    """A changed state of the upstream."""
+class Report(msgspec.Struct, tag="report", frozen=True, omit_defaults=True):
+    """A changed state of the upstream, and its ``crashes`` since the last report."""
 
     report: UpstreamReport
+    crashes: list[UpstreamCrash] = []
 
 
 class RunEnded(msgspec.Struct, tag="ended", frozen=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -18,10 +18,12 @@
     AgentRunSlow,
     AgentSessionEnded,
     AgentSessions,
+    AgentUpstreamCrashed,
     SendAgent,
     SessionEvent,
 )
 from .agentview import AgentView
+from .crashes import CrashCounts
 from .job import (
     Attempt,
     Catalog,
@@ -48,6 +50,7 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamCrash,
     ZoneNotice,
 )
 from .upstreamcall import StartResult
@@ -101,6 +104,8 @@
     """Jobs refused at submission or later, and jobs abandoned with an unknown outcome."""
     completed: int = 0
     failed: int = 0
+    crashing: int = 0
+    """Failed jobs with a task under which too many upstreams crashed."""
     cancelled: int = 0
     starts: int = 0
     rejected_starts: int = 0
@@ -129,6 +134,7 @@
         """Attempts of ended jobs that are still running, by task name."""
         self._attempts: OrderedDict[str, int] = OrderedDict()
         """Latest attempt numbers of tasks of closed jobs, for a later resubmission."""
+        self._crashes = CrashCounts()
         self._answers: OrderedDict[JobId, tuple[float, JobEnded]] = OrderedDict()
         self._placer = Placer(
             self.sessions,
@@ -262,6 +268,10 @@
             waiting=len(self._waiting),
             catalog=self._catalog.revision if self._catalog else 0,
         )
+        for task in (task for tasks in job.tasks for task in tasks):
+            if self._crashes.is_exhausted(task.name, now_ms):
+                self._fail_crashing(task, now_ms)
+                return
         self._release_steps(job, now_ms)
 
     def _release_steps(self, job: Job, now_ms: float) -> None:
@@ -354,6 +364,38 @@
                 self._on_run_ended(event.view, event.ended, now_ms)
             case AgentRunSlow():
                 self._on_run_slow(event.view, event.slow, now_ms)
+            case AgentUpstreamCrashed():
+                self._on_upstream_crashed(event.crash, now_ms)
+
+    def _on_upstream_crashed(self, crash: UpstreamCrash, now_ms: float) -> None:
+        """Count the crash for its tasks, and end the jobs of those that may not start again."""
+        for name in self._crashes.add(crash, now_ms):
+            task = self._find_task(name)
+            if task is None or task.done:
+                continue
+            self._log(
+                "upstream crashed under a task",
+                job=task.job.spec.job,
+                task=name,
+                crash=crash.crash,
+                crashes=self._crashes.count(name, now_ms),
+                tasks=len(crash.tasks),
+            )
+            if self._crashes.is_exhausted(name, now_ms):
+                self._fail_crashing(task, now_ms)
+
+    def _find_task(self, name: str) -> Task | None:
+        """Return a task of an open job by its name."""
+        job = self._jobs.get(JobId(name.rsplit("/", 2)[0]))
+        tasks = [task for step in job.tasks for task in step] if job is not None else []
+        return next((task for task in tasks if task.name == name), None)
+
+    def _fail_crashing(self, task: Task, now_ms: float) -> None:
+        """End the job of a task under which too many upstreams crashed."""
+        self.counters.crashing += 1
+        crashes = self._crashes.count(task.name, now_ms)
+        reason = f"{crashes} upstreams crashed under task {task.name}"
+        self._end_job(task.job, JobEnded(JobState.FAILED, reason), now_ms)
 
     def _on_run_slow(self, view: AgentView, slow: RunSlow, now_ms: float) -> None:
         """Stop a slow run if its task would end earlier on another upstream.
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -422,6 +422,7 @@
     def boot(self) -> None:
         self.core = Scheduler(Random(self.sim.rng.random()))
         self.core.set_catalog(Catalog(1, "1", (self.sim.queue,)))
+        self.core.set_zones_out(1, frozenset(), self.sim.now)
 
     def run_or_defer(self, work: Callable[[], None]) -> None:
         if self.paused:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -28,6 +28,7 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamCrash,
     UpstreamReport,
     ZoneNotice,
 )
@@ -301,6 +302,92 @@
     assert harness.ends()[-1][2:] == ("rejected", "no upstream")
 
 
+def crashes(harness: ExecutorHarness) -> list[UpstreamCrash]:
+    """Return the crashes reported to the entry."""
+    return [crash for b in harness.bodies if isinstance(b, Report) for crash in b.crashes]
+
+
+def test_a_crash_is_reported_before_the_ends_of_its_runs(harness: ExecutorHarness) -> None:
+    """Guards against a task that starts again before its entry knows of the crash."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.start("j/0/1", cpu=1_000)
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0", "j/0/1"])]
+    kinds = [type(body) for body in harness.bodies if isinstance(body, Report | RunEnded)]
+    assert kinds[-3:] == [Report, RunEnded, RunEnded]
+    assert isinstance(harness.bodies[-1], RunEnded)
+
+
+def test_a_crash_is_reported_once(harness: ExecutorHarness) -> None:
+    """Guards against a crash that counts again when the next incarnation registers."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    harness.advance(200.0)
+    refuse_poll(harness)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    assert len(crashes(harness)) == 1
+    assert harness.core.counters.crashes == 1
+
+
+def test_a_new_incarnation_shows_the_crash_of_the_last_one(harness: ExecutorHarness) -> None:
+    """Guards against crashes that go unseen because the upstream was back before any call."""
+    harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=6_000), harness.now)
+    harness.collect_effects()
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0"]), UpstreamCrash("u1@5000", [])]
+
+
+@pytest.mark.parametrize("deregisters", [False, True])
+def test_an_upstream_that_leaves_has_not_crashed(
+    harness: ExecutorHarness, deregisters: bool
+) -> None:
+    """Guards against tasks blamed for an upstream that was stopped on purpose."""
+    harness.answer(harness.start())
+    if deregisters:
+        harness.core.on_deregistration("stopped", harness.now)
+    else:
+        harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    assert crashes(harness) == []
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_tasks_of_a_silent_upstream_are_blamed_only_after_its_restart(
+    harness: ExecutorHarness, restarted: bool
+) -> None:
+    """Guards against tasks blamed for an upstream that was only suspended."""
+    harness.answer(harness.start())
+    for _ in range(80):
+        harness.now += 20.0
+        harness.heartbeat()
+        harness.core.tick(harness.now)
+        harness.collect_effects()
+    assert harness.ends()[-1][2] == "lost"
+    assert crashes(harness) == []
+    if not restarted:
+        harness.answer_hold()
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0"] if restarted else [])]
+
+
+def test_a_new_session_begins_with_the_recent_crashes(harness: ExecutorHarness) -> None:
+    """Guards against an entry that gets a job without knowing of the crashes under it."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    harness.core.entries.connect("entry-2", harness.now)
+    effect = harness.core.effects[-1]
+    assert isinstance(effect, SendFrame)
+    assert isinstance(effect.frame.body, Hello)
+    assert effect.frame.body.crashes == [UpstreamCrash("u1@1000", ["j/0/0"])]
+
+
 def test_orders_of_an_ended_session_start_nothing(harness: ExecutorHarness) -> None:
     """A frame delayed by a network partition arrives after its session has ended."""
     assert harness.channel is not None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 
 from snipewell.agentsession import SendAgent
 from snipewell.channel import Channel
+from snipewell.crashes import MAX_CRASHES
 from snipewell.ids import ServiceName
 from snipewell.job import (
     Catalog,
@@ -36,6 +37,7 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamCrash,
     UpstreamReport,
 )
 from snipewell.scheduler import (
@@ -218,6 +220,40 @@
     assert isinstance(harness.answers[request][0], JobUnknown)
 
 
+def crash_under(agent: FakeAgent, run: StartRun, crash: str) -> None:
+    """Report a crash of the upstream that ran only ``run``, and the end of the run."""
+    agent.send(Report(agent.report, [UpstreamCrash(crash, [run.task])]))
+    agent.end(run, RunEnd.LOST)
+
+
+def test_a_job_fails_when_too_many_upstreams_crashed_under_its_task(harness: Harness) -> None:
+    """Guards against a task that crashes one upstream after the other without an end."""
+    request = harness.submit()
+    for number in range(MAX_CRASHES):
+        assert request not in harness.answers
+        agent, run = harness.starts()[-1]
+        agent.starts.remove(run)
+        crash_under(agent, run, f"u@{number}")
+    (outcome,) = harness.answers[request]
+    assert outcome == JobEnded(JobState.FAILED, "3 upstreams crashed under task j1/0/0")
+    assert harness.starts() == []
+    assert harness.core.counters.crashing == 1
+
+
+def test_a_job_whose_task_crashed_upstreams_at_another_entry_does_not_start(
+    harness: Harness,
+) -> None:
+    """Guards against a task that goes on crashing upstreams when its entry has been replaced."""
+    crashes = [UpstreamCrash(f"u@{number}", ["j1/0/0"]) for number in range(MAX_CRASHES)]
+    agent = next(iter(harness.agents.values()))
+    agent.send(Report(agent.report, crashes))
+    request = harness.submit()
+    (outcome,) = harness.answers[request]
+    assert isinstance(outcome, JobEnded)
+    assert outcome.state is JobState.FAILED
+    assert harness.starts() == []
+
+
 def test_a_job_resubmitted_while_it_is_open_runs_once(harness: Harness) -> None:
     """The client resubmits because its first connection is silent; both get the outcome."""
     first, second = harness.submit(), harness.submit()
