--- a/snipewell/agentview.py
+++ b/snipewell/agentview.py
@@ -35,6 +35,9 @@
     rejected_until_ms: float = float("-inf")
     """Time before which no starts are sent, because the agent rejected one for a reason other than
     lack of capacity."""
+    no_suspects_until_ms: float = float("-inf")
+    """Time before which no starts of suspects are sent, because the agent rejected one beside
+    another suspect."""
 
     @property
     def upstream(self) -> UpstreamId:
--- a/snipewell/crashes.py
+++ b/snipewell/crashes.py
@@ -2,11 +2,15 @@
 
 The agent announces each crash of its upstream, with the tasks that ran there. An entry counts the
 crashes of each task, also of tasks that it doesn't own: it may get their job later.
+
+Tasks that merely ran beside the one that caused a crash are counted too. A task with a crash is a
+suspect, and an agent runs one suspect at a time: the next crash tells them apart.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from dataclasses import dataclass
 
 from .runmessage import UpstreamCrash
 
@@ -20,6 +24,8 @@
 """Maximum number of tasks whose crashes an entry counts."""
 MAX_CRASHES = 3
 """Number of crashes of upstreams under one task at which its job fails."""
+MAX_CRASHES_ALONE = 2
+"""The same limit for a task that was the only suspect at one of the crashes."""
 
 
 class RecentCrashes:
@@ -37,31 +43,46 @@
         return [crash for at_ms, crash in self._crashes if now_ms - at_ms < CRASH_RETENTION_MS]
 
 
+@dataclass(frozen=True, slots=True)
+class _CountedCrash:
+    """A crash under a task; ``alone`` is true if the task was the only suspect there."""
+
+    at_ms: float
+    alone: bool
+
+
 class CrashCounts:
     """Number of crashes of upstreams under each task, as announced by the agents."""
 
     def __init__(self) -> None:
-        self._times: OrderedDict[str, dict[str, float]] = OrderedDict()
-        """Time of each announced crash by its id, by task name; the latest task is last."""
+        self._by_task: OrderedDict[str, dict[str, _CountedCrash]] = OrderedDict()
+        """Announced crashes by their ids, by task name; the task of the latest crash is last."""
 
     def add(self, crash: UpstreamCrash, now_ms: float) -> list[str]:
         """Count a crash and return its tasks; one that was counted before changes nothing."""
         added = []
         for task in crash.tasks:
-            times = self._times.setdefault(task, {})
-            if crash.crash not in times:
-                times[crash.crash] = now_ms
-                self._times.move_to_end(task)
+            counted = self._by_task.setdefault(task, {})
+            if crash.crash not in counted:
+                counted[crash.crash] = _CountedCrash(now_ms, crash.suspects == [task])
+                self._by_task.move_to_end(task)
                 added.append(task)
-        while len(self._times) > MAX_COUNTED_TASKS:
-            self._times.popitem(last=False)
+        while len(self._by_task) > MAX_COUNTED_TASKS:
+            self._by_task.popitem(last=False)
         return added
 
+    def _list_recent(self, task: str, now_ms: float) -> list[_CountedCrash]:
+        crashes = self._by_task.get(task)
+        if not crashes:
+            return []
+        return [each for each in crashes.values() if now_ms - each.at_ms < CRASH_RETENTION_MS]
+
     def count(self, task: str, now_ms: float) -> int:
         """Return the number of crashes under ``task`` in the last `CRASH_RETENTION_MS`."""
-        times = self._times.get(task, {}).values()
-        return sum(now_ms - at_ms < CRASH_RETENTION_MS for at_ms in times)
+        return len(self._list_recent(task, now_ms))
 
     def is_exhausted(self, task: str, now_ms: float) -> bool:
         """Return whether ``task`` should not be started again."""
-        return self.count(task, now_ms) >= MAX_CRASHES
+        crashes = self._list_recent(task, now_ms)
+        alone = any(crash.alone for crash in crashes)
+        return len(crashes) >= (MAX_CRASHES_ALONE if alone else MAX_CRASHES)
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -30,6 +30,7 @@
     BUSY_TASK,
     NO_CAPACITY,
     NO_UPSTREAM,
+    SUSPECT_RUNNING,
     EntryFrame,
     RunEnded,
     RunSlow,
@@ -143,9 +144,9 @@
         self._unanswered_since_ms = float("inf")
         """Time at which the first call since the last answer of the upstream was sent."""
         self._silence_noted = False
-        self._expired: set[str] = set()
-        """Tasks of runs that were ended by the expiry of the lease of the present incarnation, of
-        which it isn't known yet whether it has crashed."""
+        self._expired: list[StartRun] = []
+        """Orders of the runs that were ended by the expiry of the lease of the present incarnation,
+        of which it isn't known yet whether it has crashed."""
         self._down_since_ms: float | None = None
         """Time at which the address of the upstream was found to refuse connections, or None."""
 
@@ -226,20 +227,21 @@
         """Report the crash of the present incarnation, which ended ``runs``."""
         assert self._upstream is not None
         upstream = self._upstream
-        tasks = set(self._expired)
+        orders = [*self._expired, *(run.order for run in runs if not run.in_crash)]
         for run in runs:
-            if not run.in_crash:
-                run.in_crash = True
-                tasks.add(run.order.task)
+            run.in_crash = True
         self._expired.clear()
+        tasks = sorted({order.task for order in orders})
+        suspects = sorted({order.task for order in orders if order.crashes})
         self.counters.crashes += 1
         self._note(
             "upstream crashed",
             upstream=upstream.upstream,
             born_ms=upstream.born_ms,
             runs=len(tasks),
+            suspects=suspects,
         )
-        crash = UpstreamCrash(f"{upstream.upstream}@{upstream.born_ms}", sorted(tasks))
+        crash = UpstreamCrash(f"{upstream.upstream}@{upstream.born_ms}", tasks, suspects)
         self.entries.report_crash(crash, now_ms)
 
     def _drop_runs(self, reason: str, now_ms: float) -> None:
@@ -501,6 +503,9 @@
             return "the upstream doesn't answer"
         if any(task == order.task for task, _ in self._runs):
             return BUSY_TASK
+        if order.crashes and any(run.order.crashes for run in self._runs.values()):
+            # A crash would not show which of the two caused it.
+            return SUSPECT_RUNNING
         if not order.resources.fits(self._free()):
             return NO_CAPACITY
         return ""
@@ -699,7 +704,7 @@
             self._poll_runs(now_ms)
         if self._runs and now_ms > self._lease.expired_by_ms():
             self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
-            self._expired.update(task for task, _ in self._runs)
+            self._expired += [run.order for run in self._runs.values()]
             self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
 
     def _check_run(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
--- a/snipewell/matching.py
+++ b/snipewell/matching.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from .agentview import AgentView
@@ -60,13 +60,15 @@
 
     The upstream must not be in ``avoid``, and the expected duration of the task on it must not
     exceed ``max_duration_ms``. With ``require_reserve``, at least `RESERVE_SHARE` of the CPU of the
-    upstream must be free.
+    upstream must be free. The upstream must not be in ``excluded`` either, even if no other is
+    left.
     """
 
     step: StepSpec
     avoid: Collection[UpstreamId] = ()
     max_duration_ms: float = float("inf")
     require_reserve: bool = False
+    excluded: Collection[UpstreamId] = ()
 
     def accepts(self, candidate: Candidate) -> bool:
         """Return whether ``candidate`` meets the requirements."""
@@ -75,6 +77,7 @@
             and (not self.step.label or self.step.label in candidate.view.report.labels)
             and self.step.estimate_ms * candidate.slowness <= self.max_duration_ms
             and candidate.view.upstream not in self.avoid
+            and candidate.view.upstream not in self.excluded
             and (not self.require_reserve or candidate.has_reserve())
         )
 
@@ -115,9 +118,7 @@
         if not requirements.step.resources.fits(self._find_max_available()):
             return None
         if requirements.avoid and self._names <= set(requirements.avoid):
-            requirements = TaskRequirements(
-                requirements.step, (), requirements.max_duration_ms, requirements.require_reserve
-            )
+            requirements = replace(requirements, avoid=())
         drawn = (
             [self._rng.choice(self._fast) for _ in range(SAMPLED_CANDIDATES)] if self._fast else []
         )
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -13,7 +13,8 @@
 
 from .agentsession import AgentSessions
 from .agentview import AgentView
-from .ids import ScopedKey, ServiceName
+from .crashes import CrashCounts
+from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import JobRefused, RunEnd, StepSpec
 from .jobqueue import RATE_WINDOW_MS, StartedWorkRate, WaitingJob, plan, retry_after_ms
 from .jobstate import Job, Task
@@ -54,6 +55,7 @@
     ``start`` is called for each task to start, ``refuse`` for each job to refuse, and ``log`` with
     the text and the fields of each decision to log. ``runs`` holds the runs in progress;
     ``stopping`` the names of tasks with a run that is being stopped, which may not start yet.
+    ``crashes`` tells which tasks are suspects, of which an agent runs one at a time.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         sessions: AgentSessions,
         runs: Mapping[tuple[str, int], Task],
         stopping: Container[str],
+        crashes: CrashCounts,
         rng: Random,
         start: Callable[[Task, Candidate, float], None],
         refuse: Callable[[Job, JobRefused, float], None],
@@ -73,6 +76,7 @@
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
+        self._crashes = crashes
         self._rng = rng
         self._start_run = start
         self._refuse = refuse
@@ -241,12 +245,31 @@
         """
         for task in tasks:
             step = task.job.spec.steps[task.step]
-            requirements = TaskRequirements(step, task.avoid, end_by_ms - now_ms, require_reserve)
+            suspect = self._crashes.count(task.name, now_ms) > 0
+            requirements = TaskRequirements(
+                step,
+                task.avoid,
+                end_by_ms - now_ms,
+                require_reserve,
+                self._find_with_suspects(now_ms) if suspect else (),
+            )
             candidate = self._claim_probe(requirements, now_ms) or pool.find(requirements)
             if candidate is not None:
                 pool.allocate(candidate, step.resources)
                 self._start_run(task, candidate, now_ms)
 
+    def _find_with_suspects(self, now_ms: float) -> set[UpstreamId]:
+        """Return the upstreams that run a suspect, as far as it is known here."""
+        running = {
+            task.view.upstream
+            for task in self._runs.values()
+            if task.view is not None and self._crashes.count(task.name, now_ms)
+        }
+        refusing = {
+            view.upstream for view in self._sessions.views() if now_ms < view.no_suspects_until_ms
+        }
+        return running | refusing
+
     def _claim_probe(self, requirements: TaskRequirements, now_ms: float) -> Candidate | None:
         """Return an upstream for which the task serves as the probe, or None.
 
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -15,6 +15,10 @@
 """Reason of a rejection while an earlier attempt of the task is still running; it is no sign of a
 fault of the upstream."""
 
+SUSPECT_RUNNING = "another suspect is running"
+"""Reason of a rejection of a suspect, a task under which an upstream has crashed, beside another
+one; it is no sign of a fault of the upstream."""
+
 
 class UpstreamReport(msgspec.Struct, array_like=True, frozen=True):
     """State of the upstream on an agent's VM; ``upstream`` is empty if there is no usable one."""
@@ -53,12 +57,14 @@
     """Crash of an incarnation of the upstream.
 
     ``crash`` is its id and ``tasks`` holds the names of the tasks that ran there, or whose start
-    had no answer. It travels in a field of other messages: a decoder of an earlier version ignores
-    unknown fields, but not unknown messages.
+    had no answer; ``suspects`` are those under which an upstream had crashed before. It travels in
+    a field of other messages: a decoder of an earlier version ignores unknown fields, but not
+    unknown messages.
     """
 
     crash: str
     tasks: list[str]
+    suspects: list[str] = []
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, omit_defaults=True):
@@ -103,7 +109,7 @@
     left_ms: float
 
 
-class StartRun(msgspec.Struct, tag="start", frozen=True):
+class StartRun(msgspec.Struct, tag="start", frozen=True, omit_defaults=True):
     """Order to start a task at once; the agent rejects it if the upstream lacks free resources."""
 
     task: str
@@ -112,6 +118,8 @@
     resources: ResourceVector
     estimate_ms: float
     """The client's estimate of the duration, in milliseconds."""
+    crashes: int = 0
+    """Number of recent crashes of upstreams under the task. A task with any is a suspect."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -45,6 +45,7 @@
 from .runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
+    SUSPECT_RUNNING,
     AgentFrame,
     RunEnded,
     RunSlow,
@@ -66,6 +67,9 @@
 STOPPING_TASK_PAUSE_MS = 60.0
 """Delay before a task is started again whose previous run is still being stopped: slightly more
 than the upstream's ``stopGraceMs``."""
+SUSPECT_PAUSE_MS = 100.0
+"""Pause in starts of suspects on an agent that rejected one beside another suspect, which is rarely
+done earlier."""
 STALL_RECOVERY_PAUSE_MS = 150.0
 """Pause before new starts after a stall of the process, in which closed client connections are
 detected."""
@@ -140,6 +144,7 @@
             self.sessions,
             self._runs,
             self._stopping,
+            self._crashes,
             rng,
             self._start_run,
             self._end_job,
@@ -380,6 +385,7 @@
                 crash=crash.crash,
                 crashes=self._crashes.count(name, now_ms),
                 tasks=len(crash.tasks),
+                suspects=len(crash.suspects),
             )
             if self._crashes.is_exhausted(name, now_ms):
                 self._fail_crashing(task, now_ms)
@@ -475,6 +481,8 @@
                 self.counters.rejected_starts += 1
                 if ended.reason == BUSY_TASK:
                     task.not_before_ms = now_ms + STOPPING_TASK_PAUSE_MS
+                elif ended.reason == SUSPECT_RUNNING:
+                    view.no_suspects_until_ms = now_ms + SUSPECT_PAUSE_MS
                 elif ended.reason not in (NO_CAPACITY, StartResult.STALE_ATTEMPT.value):
                     view.rejected_until_ms = now_ms + REJECTED_START_PAUSE_MS
             case RunEnd.STOPPED if view.upstream in task.avoid and task.moves:
@@ -514,6 +522,7 @@
             task.job.spec.specification,
             step.resources,
             step.estimate_ms,
+            self._crashes.count(task.name, now_ms),
         )
         self.sessions.send(view, order, now_ms)
         self._log(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,11 +9,12 @@
     MAX_ANNOUNCED_CRASHES,
     MAX_COUNTED_TASKS,
     MAX_CRASHES,
+    MAX_CRASHES_ALONE,
     CrashCounts,
     RecentCrashes,
 )
 from snipewell.job import ResourceVector
-from snipewell.runmessage import Hello, Report, UpstreamCrash, UpstreamReport
+from snipewell.runmessage import Hello, Report, StartRun, UpstreamCrash, UpstreamReport
 
 REPORT = UpstreamReport("u1", "svc", "z1", ResourceVector(10, 10), ResourceVector(10, 10), [])
 
@@ -27,6 +28,25 @@
     assert counts.add(UpstreamCrash("u1@1", ["a", "b"]), 0.0) == ["b"]
 
 
+def test_the_only_suspect_is_given_up_earlier() -> None:
+    """Guards against a task that crashes one more upstream although no other can be the cause."""
+    counts = CrashCounts()
+    counts.add(UpstreamCrash("u1@1", ["a", "b"]), 0.0)
+    counts.add(UpstreamCrash("u2@1", ["a", "b", "c"], ["a"]), 0.0)
+    assert counts.count("a", 0.0) == counts.count("b", 0.0) == MAX_CRASHES_ALONE
+    assert counts.is_exhausted("a", 0.0)
+    assert not counts.is_exhausted("b", 0.0)
+    assert not counts.is_exhausted("c", 0.0)
+
+
+def test_one_of_two_suspects_is_not_given_up_earlier() -> None:
+    """Guards against an innocent task that is given up for another one's second crash."""
+    counts = CrashCounts()
+    counts.add(UpstreamCrash("u1@1", ["a", "b"]), 0.0)
+    counts.add(UpstreamCrash("u2@1", ["a", "b"], ["a", "b"]), 0.0)
+    assert not counts.is_exhausted("a", 0.0)
+
+
 def test_crashes_are_forgotten_after_the_retention_time() -> None:
     """Guards against jobs that fail for the crashes of a job submitted long before."""
     counts, recent = CrashCounts(), RecentCrashes()
@@ -78,3 +98,21 @@
     """Guards against messages of an earlier version that an entry can't decode."""
     encoded = msgspec.msgpack.encode(EarlierHello("a1", REPORT))
     assert msgspec.msgpack.decode(encoded, type=Hello) == Hello("a1", REPORT)
+
+
+class EarlierStartRun(msgspec.Struct, tag="start", frozen=True):
+    """The message without the number of crashes."""
+
+    task: str
+    attempt: int
+    specification: str
+    resources: ResourceVector
+    estimate_ms: float
+
+
+def test_an_agent_of_an_earlier_version_starts_a_suspect() -> None:
+    """Guards against orders that an agent of an earlier version can't decode."""
+    resources = ResourceVector(1, 1)
+    encoded = msgspec.msgpack.encode(StartRun("a", 1, "spec", resources, 10.0, 2))
+    expected = EarlierStartRun("a", 1, "spec", resources, 10.0)
+    assert msgspec.msgpack.decode(encoded, type=EarlierStartRun) == expected
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -19,6 +19,7 @@
 from snipewell.runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
+    SUSPECT_RUNNING,
     AgentBody,
     EntryBody,
     Goodbye,
@@ -388,6 +389,18 @@
     assert effect.frame.body.crashes == [UpstreamCrash("u1@1000", ["j/0/0"])]
 
 
+def test_one_suspect_runs_at_a_time(harness: ExecutorHarness) -> None:
+    """Guards against a crash that doesn't show which of two suspects caused it."""
+    size = ResourceVector(1_000, 10)
+    harness.send(StartRun("j/0/0", 1, "spec", size, 400.0, crashes=1))
+    harness.send(StartRun("j/0/1", 1, "spec", size, 400.0, crashes=1))
+    harness.send(StartRun("j/0/2", 1, "spec", size, 400.0))
+    assert harness.ends() == [("j/0/1", 1, "rejected", SUSPECT_RUNNING)]
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0", "j/0/2"], ["j/0/0"])]
+
+
 def test_orders_of_an_ended_session_start_nothing(harness: ExecutorHarness) -> None:
     """A frame delayed by a network partition arrives after its session has ended."""
     assert harness.channel is not None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -29,6 +29,7 @@
 from snipewell.placer import CAPACITY_GROWTH_GRACE_MS, MIN_SATURATION_MS
 from snipewell.runmessage import (
     NO_CAPACITY,
+    SUSPECT_RUNNING,
     AgentBody,
     EntryBody,
     Hello,
@@ -44,6 +45,7 @@
     MAX_LOST_RUNS,
     PROCESS_STALL_MS,
     STALL_RECOVERY_PAUSE_MS,
+    SUSPECT_PAUSE_MS,
     Answer,
     LogRecord,
     Scheduler,
@@ -254,6 +256,54 @@
     assert harness.starts() == []
 
 
+def make_suspects(harness: Harness, *tasks: str) -> None:
+    """Report a crash under ``tasks``, which have not been submitted yet."""
+    agent = next(iter(harness.agents.values()))
+    agent.send(Report(agent.report, [UpstreamCrash("u@1", list(tasks))]))
+
+
+def test_suspects_start_on_different_upstreams(harness: Harness) -> None:
+    """Guards against a crash that doesn't show which of two suspects caused it."""
+    make_suspects(harness, "j1/0/0", "j1/0/1", "j1/0/2")
+    harness.submit(tasks=3)
+    assert [len(agent.starts) for agent in harness.agents.values()] == [1, 1]
+    assert {run.crashes for _, run in harness.starts()} == {1}
+    agent, run = harness.starts()[0]
+    agent.end(run)
+    assert len(agent.starts) == 2
+
+
+def test_a_suspect_rejected_beside_another_one_starts_elsewhere_at_once() -> None:
+    """Guards against an upstream that gets no work because it runs a suspect of another entry."""
+    harness = Harness()
+    make_suspects(harness, "j1/0/0")
+    harness.submit()
+    agent, run = harness.only_start()
+    agent.end(run, RunEnd.REJECTED, SUSPECT_RUNNING)
+    other, again = next((a, r) for a, r in harness.starts() if r is not run)
+    assert other is not agent
+    other.end(again, RunEnd.REJECTED, SUSPECT_RUNNING)
+    assert len(harness.starts()) == 2
+    harness.submit("j2", tasks=6)
+    assert len(agent.starts) > 1
+    assert len(other.starts) > 1
+    harness.advance(SUSPECT_PAUSE_MS + 20)
+    assert [run.attempt for _, run in harness.starts() if run.task == "j1/0/0"][-1] == 3
+
+
+def test_a_job_fails_early_when_its_task_was_the_only_suspect(harness: Harness) -> None:
+    """Guards against a task that crashes one more upstream although no other can be the cause."""
+    request = harness.submit()
+    agent, run = harness.only_start()
+    crash_under(agent, run, "u@1")
+    other, again = next((a, r) for a, r in harness.starts() if r is not run)
+    assert again.crashes == 1
+    other.send(Report(other.report, [UpstreamCrash("u@2", [again.task, "j9/0/0"], [again.task])]))
+    assert harness.answers[request] == [
+        JobEnded(JobState.FAILED, "2 upstreams crashed under task j1/0/0")
+    ]
+
+
 def test_a_job_resubmitted_while_it_is_open_runs_once(harness: Harness) -> None:
     """The client resubmits because its first connection is silent; both get the outcome."""
     first, second = harness.submit(), harness.submit()
