--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -144,6 +144,7 @@
         self.metrics.gauge("unclear_starts", lambda: counters.indeterminate)
         self.metrics.gauge("stalled_runs", lambda: counters.stalled)
         self.metrics.gauge("slow_stops", lambda: counters.slow_stops)
+        self.metrics.gauge("upstream_crashes", lambda: counters.crashes)
         self.metrics.gauge("silent_owners", lambda: counters.timed_out_sessions)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
@@ -209,6 +210,9 @@
                 await self._task.put(self._core.on_hold, call, answer)
             case StartResult.FENCED:
                 await self._task.put(self._core.on_hold_fenced, call)
+            case StartResult.NO_LISTENER:
+                self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
+                await self._task.put(self._core.on_hold_refused, call)
             case _:
                 self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
                 self._log.info("executor", "no lists of runs received", reason=answer.value)
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -15,6 +15,10 @@
 """Reason of a rejection while an earlier attempt of the task is still running; it is no sign of a
 fault of the upstream."""
 
+SUSPECT_RUNNING = "another suspect is running"
+"""Reason of a rejection of a suspect, a task under which an upstream has crashed, beside another
+one; it is no sign of a fault of the upstream."""
+
 
 class UpstreamReport(msgspec.Struct, array_like=True, frozen=True):
     """State of the upstream on an agent's VM; ``upstream`` is empty if there is no usable one."""
@@ -30,7 +34,7 @@
     healthy: bool = True
     """False for `UNHEALTHY_MS`, or until a new incarnation registers, after a start could not be
     sent or was refused as unhealthy or as addressed to another instance, or after the lease expired
-    without an answer."""
+    without an answer. False also while the upstream's address refuses connections."""
     entries: int = 1
     """Number of entries with a session at the agent, which share the upstream."""
     slowness: float = 1.0
@@ -49,17 +53,36 @@
 """Report of an agent without a usable upstream."""
 
 
-class Hello(msgspec.Struct, tag="hello", frozen=True):
-    """First message of a session: the agent has no runs of its earlier sessions any more."""
+class UpstreamCrash(msgspec.Struct, frozen=True):
+    """Crash of an incarnation of the upstream.
+
+    ``crash`` is its id and ``tasks`` holds the names of the tasks that ran there, or whose start
+    had no answer; ``suspects`` are those under which an upstream had crashed before. It travels in
+    a field of other messages: a decoder of an earlier version ignores unknown fields, but not
+    unknown messages.
+    """
+
+    crash: str
+    tasks: list[str]
+    suspects: list[str] = []
+
+
+class Hello(msgspec.Struct, tag="hello", frozen=True, omit_defaults=True):
+    """First message of a session: the agent has no runs of its earlier sessions any more.
+
+    ``crashes`` holds the recent crashes of the upstream.
+    """
 
     agent: str
     report: UpstreamReport
+    crashes: list[UpstreamCrash] = []
 
 
-class Report(msgspec.Struct, tag="report", frozen=True):
-    """A changed state of the upstream."""
+class Report(msgspec.Struct, tag="report", frozen=True, omit_defaults=True):
+    """A changed state of the upstream, and its ``crashes`` since the last report."""
 
     report: UpstreamReport
+    crashes: list[UpstreamCrash] = []
 
 
 class RunEnded(msgspec.Struct, tag="ended", frozen=True):
@@ -86,7 +109,7 @@
     left_ms: float
 
 
-class StartRun(msgspec.Struct, tag="start", frozen=True):
+class StartRun(msgspec.Struct, tag="start", frozen=True, omit_defaults=True):
     """Order to start a task at once; the agent rejects it if the upstream lacks free resources."""
 
     task: str
@@ -95,6 +118,8 @@
     resources: ResourceVector
     estimate_ms: float
     """The client's estimate of the duration, in milliseconds."""
+    crashes: int = 0
+    """Number of recent crashes of upstreams under the task. A task with any is a suspect."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/upstreamcall.py
+++ b/snipewell/upstreamcall.py
@@ -72,6 +72,8 @@
     UNHEALTHY = "unhealthy"
     OTHER_INSTANCE = "instance"
     """The address belongs to an upstream with another ID."""
+    NO_LISTENER = "no listener"
+    """The upstream's address refused the connection: no process listens there."""
     NOT_SENT = "not sent"
     UNANSWERED = "unanswered"
 
@@ -118,7 +120,7 @@
     sent_ms: float
 
 
-def is_same_incarnation(call: CallHold | CallStop, upstream: Upstream | None) -> bool:
+def is_same_incarnation(call: CallHold | CallStart | CallStop, upstream: Upstream | None) -> bool:
     """Return whether ``call`` was addressed to the incarnation that ``upstream`` describes."""
     if upstream is None:
         return False
