--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -204,6 +204,7 @@
         )
         self._reconciled = False
         if self._upstream is not None and self._is_crash(self._upstream, upstream):
+            self.counters.crashes += 1
             self._on_crash(list(self._runs.values()), now_ms)
         if self._upstream is not None and self._upstream.upstream == upstream.upstream:
             # A start may have reached the new incarnation before its first heartbeat came here.
@@ -234,21 +235,26 @@
         """Report the crash of the present incarnation, which ended ``runs``."""
         assert self._upstream is not None
         upstream = self._upstream
-        orders = [*self._expired, *(run.order for run in runs if not run.in_crash)]
-        for run in runs:
+        fresh = [run for run in runs if not run.in_crash]
+        silent = self._is_silent(now_ms)
+        confirmed = {run.order.task for run in fresh if run.is_certain() and not silent}
+        orders = [*self._expired, *(run.order for run in fresh)]
+        for run in fresh:
             run.in_crash = True
         self._expired.clear()
-        tasks = sorted({order.task for order in orders})
+        tasks = sorted(confirmed)
+        unconfirmed = sorted({order.task for order in orders} - confirmed)
         suspects = sorted({order.task for order in orders if order.crashes})
-        self.counters.crashes += 1
         self._note(
             "upstream crashed",
             upstream=upstream.upstream,
             born_ms=upstream.born_ms,
             runs=len(tasks),
+            unconfirmed=len(unconfirmed),
             suspects=suspects,
         )
-        crash = UpstreamCrash(f"{upstream.upstream}@{upstream.born_ms}", tasks, suspects)
+        name = f"{upstream.upstream}@{upstream.born_ms}"
+        crash = UpstreamCrash(name, tasks, suspects, unconfirmed)
         self.entries.report_crash(crash, now_ms)
 
     def _drop_runs(self, reason: str, now_ms: float) -> None:
@@ -343,14 +349,22 @@
     def _on_no_listener(self, sent_ms: float, now_ms: float) -> None:
         """End the runs of an upstream whose address refused a call sent at ``sent_ms``.
 
-        A start that was sent later may have reached the next incarnation; its own answer decides.
+        A start that was sent later may have reached the next incarnation; its own answer decides,
+        as that of a start in progress does.
         """
         assert self._upstream is not None
-        lost = [key for key, run in self._runs.items() if run.start_sent_ms < sent_ms]
-        if self._down_since_ms is None:
+        lost = [
+            key
+            for key, run in self._runs.items()
+            if run.start_sent_ms < sent_ms and run.state is not RunState.STARTING
+        ]
+        first = self._down_since_ms is None
+        if first:
+            self.counters.crashes += 1
             self._down_since_ms = now_ms
-            self._unanswered_since_ms = float("inf")
+        if first or lost:
             self._on_crash([self._runs[key] for key in lost], now_ms)
+        self._unanswered_since_ms = float("inf")
         for key in lost:
             self._finish(key, RunEnd.LOST, "no listener at the upstream", now_ms)
         self.entries.report(now_ms)
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -69,6 +69,10 @@
     stop_answered: bool = False
     """Whether the upstream answered the latest stop order."""
 
+    def is_certain(self) -> bool:
+        """Return whether the upstream was running it, as far as its last answers tell."""
+        return self.state is RunState.RUNNING and not self.stop_answered
+
     def is_stop_due(self, now_ms: float) -> bool:
         """Return whether a stop order should be sent again, because the run hasn't ended."""
         in_margin = now_ms - self.stop_requested_ms < STOP_MARGIN_MS
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -56,15 +56,17 @@
 class UpstreamCrash(msgspec.Struct, frozen=True):
     """Crash of an incarnation of the upstream.
 
-    ``crash`` is its id and ``tasks`` holds the names of the tasks that ran there, or whose start
-    had no answer; ``suspects`` are those under which an upstream had crashed before. It travels in
-    a field of other messages: a decoder of an earlier version ignores unknown fields, but not
-    unknown messages.
+    ``crash`` is its id and ``tasks`` holds the names of the tasks that ran there. ``unconfirmed``
+    holds those of which that isn't certain: their start had no answer, or the upstream had been
+    silent before it crashed. ``suspects`` are those of both under which an upstream had crashed
+    before. It travels in a field of other messages: a decoder of an earlier version ignores unknown
+    fields, but not unknown messages.
     """
 
     crash: str
     tasks: list[str]
     suspects: list[str] = []
+    unconfirmed: list[str] = []
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True, omit_defaults=True):
