--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -26,6 +26,7 @@
 from snipewell.runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
+    SUSPECT_RUNNING,
     AgentBody,
     EntryBody,
     Goodbye,
@@ -35,6 +36,8 @@
     RunSlow,
     StartRun,
     StopRun,
+    UpstreamCrash,
+    UpstreamReport,
     ZoneNotice,
 )
 from snipewell.upstreamcall import (
@@ -205,6 +208,222 @@
     assert harness.now - 1_000.0 < 1_300.0 - STOP_RETRY_MS
 
 
+def refuse_poll(harness: ExecutorHarness) -> CallHold:
+    """Refuse the connection of the latest request for the lists of runs."""
+    call = next(call for call in reversed(harness.calls) if isinstance(call, CallHold))
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    return call
+
+
+def refuse_hold(harness: ExecutorHarness) -> CallHold:
+    """Refuse the connection of the next long-poll call."""
+    call = harness.core.next_hold(harness.now)
+    assert call is not None
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    return call
+
+
+def last_report(harness: ExecutorHarness) -> UpstreamReport:
+    return next(b.report for b in reversed(harness.bodies) if isinstance(b, Report))
+
+
+def test_runs_of_an_upstream_without_a_listener_end_at_once(harness: ExecutorHarness) -> None:
+    """Guards against tasks that wait for the lease of an upstream that has crashed."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert harness.ends() == [("j/0/0", 1, "lost", "no listener at the upstream")]
+    assert not last_report(harness).healthy
+    assert harness.core.next_hold(harness.now) is None
+    harness.advance(2_000.0)
+    refuse_poll(harness)
+    assert not last_report(harness).healthy
+    harness.send(StartRun("j/0/1", 1, "spec", ResourceVector(1, 1), 400.0))
+    assert harness.ends()[-1][2:] == ("rejected", "the upstream is unhealthy")
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    call = next(call for call in reversed(harness.calls) if isinstance(call, CallHold))
+    harness.core.on_hold(call, RunLists(harness.now, 5_000, (), ()), harness.now)
+    harness.collect_effects()
+    harness.advance(20.0)
+    assert last_report(harness).healthy
+
+
+def test_a_refused_call_to_an_earlier_incarnation_ends_no_run(harness: ExecutorHarness) -> None:
+    """Guards against runs of a restarted upstream that are ended by a late result."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    late = harness.core.next_hold(harness.now)
+    assert late is not None
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.core.on_hold_refused(late, harness.now)
+    harness.collect_effects()
+    assert harness.ends() == []
+    assert harness.core.running == 1
+
+
+def test_a_start_sent_after_a_refused_call_waits_for_its_own_answer(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against overlapping runs when the next incarnation has taken the later start."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.now += 40.0
+    call = harness.core.next_hold(harness.now)
+    assert call is not None
+    harness.now += 5.0
+    later = harness.start("j/0/1", cpu=1_000)
+    harness.core.on_hold_refused(call, harness.now)
+    harness.collect_effects()
+    assert [end[0] for end in harness.ends()] == ["j/0/0"]
+    harness.answer(later)
+    assert harness.core.running == 1
+
+
+def test_a_refused_start_is_rejected_and_ends_the_earlier_runs(harness: ExecutorHarness) -> None:
+    """Guards against a start counted as lost on an upstream that it can't have reached."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.now += 40.0
+    harness.answer(harness.start("j/0/1", cpu=1_000), StartResult.NO_LISTENER)
+    assert [(task, how) for task, _, how, _ in harness.ends()] == [
+        ("j/0/1", "rejected"),
+        ("j/0/0", "lost"),
+    ]
+
+
+def test_runs_of_a_draining_upstream_without_a_listener_keep_their_lease(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against overlapping runs if a leaving upstream closes its listener first."""
+    harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert harness.ends() == []
+
+
+def test_an_upstream_that_answers_again_is_reconciled_first(harness: ExecutorHarness) -> None:
+    """Guards against starts beside runs that were ended although their upstream lived on."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    early = harness.core.next_hold(harness.now)
+    assert early is not None
+    refuse_hold(harness)
+    rows = (RunRow("j/0/0", 1, 1.0),)
+    harness.core.on_hold(early, RunLists(harness.now, 1_000, rows, ()), harness.now)
+    harness.collect_effects()
+    assert harness.core.next_hold(harness.now) is None
+    harness.advance(160.0)
+    harness.answer_poll(rows)
+    harness.answer_poll(rows)
+    assert isinstance(harness.calls[-1], CallStop)
+    harness.send(StartRun("j/0/1", 1, "spec", ResourceVector(1, 1), 400.0))
+    assert harness.ends()[-1][2:] == ("rejected", "no upstream")
+
+
+def crashes(harness: ExecutorHarness) -> list[UpstreamCrash]:
+    """Return the crashes reported to the entry."""
+    return [crash for b in harness.bodies if isinstance(b, Report) for crash in b.crashes]
+
+
+def test_a_crash_is_reported_before_the_ends_of_its_runs(harness: ExecutorHarness) -> None:
+    """Guards against a task that starts again before its entry knows of the crash."""
+    harness.answer(harness.start("j/0/0", cpu=1_000))
+    harness.answer(harness.start("j/0/1", cpu=1_000))
+    harness.answer(harness.start("j/0/2", cpu=1_000), StartResult.UNANSWERED)
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0", "j/0/1"], unconfirmed=["j/0/2"])]
+    kinds = [type(body) for body in harness.bodies if isinstance(body, Report | RunEnded)]
+    assert kinds[-4:] == [Report, RunEnded, RunEnded, RunEnded]
+    assert isinstance(harness.bodies[-1], RunEnded)
+
+
+def test_a_crash_is_reported_once(harness: ExecutorHarness) -> None:
+    """Guards against a crash that counts again when the next incarnation registers."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    harness.advance(200.0)
+    refuse_poll(harness)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    assert len(crashes(harness)) == 1
+    assert harness.core.counters.crashes == 1
+
+
+def test_a_new_incarnation_shows_the_crash_of_the_last_one(harness: ExecutorHarness) -> None:
+    """Guards against crashes that go unseen because the upstream was back before any call."""
+    harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=6_000), harness.now)
+    harness.collect_effects()
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0"]), UpstreamCrash("u1@5000", [])]
+
+
+@pytest.mark.parametrize("deregisters", [False, True])
+def test_an_upstream_that_leaves_has_not_crashed(
+    harness: ExecutorHarness, deregisters: bool
+) -> None:
+    """Guards against tasks blamed for an upstream that was stopped on purpose."""
+    harness.answer(harness.start())
+    if deregisters:
+        harness.core.on_deregistration("stopped", harness.now)
+    else:
+        harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    assert crashes(harness) == []
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_tasks_of_a_silent_upstream_are_blamed_only_after_its_restart(
+    harness: ExecutorHarness, restarted: bool
+) -> None:
+    """Guards against tasks blamed for an upstream that was only suspended."""
+    harness.answer(harness.start())
+    for _ in range(80):
+        harness.now += 20.0
+        harness.heartbeat()
+        harness.core.tick(harness.now)
+        harness.collect_effects()
+    assert harness.ends()[-1][2] == "lost"
+    assert crashes(harness) == []
+    if not restarted:
+        harness.answer_hold()
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.collect_effects()
+    blamed = ["j/0/0"] if restarted else []
+    assert crashes(harness) == [UpstreamCrash("u1@1000", [], unconfirmed=blamed)]
+
+
+def test_a_new_session_begins_with_the_recent_crashes(harness: ExecutorHarness) -> None:
+    """Guards against an entry that gets a job without knowing of the crashes under it."""
+    harness.answer(harness.start())
+    harness.now += 40.0
+    refuse_hold(harness)
+    harness.core.entries.connect("entry-2", harness.now)
+    effect = harness.core.effects[-1]
+    assert isinstance(effect, SendFrame)
+    assert isinstance(effect.frame.body, Hello)
+    assert effect.frame.body.crashes == [UpstreamCrash("u1@1000", ["j/0/0"])]
+
+
+def test_one_suspect_runs_at_a_time(harness: ExecutorHarness) -> None:
+    """Guards against a crash that doesn't show which of two suspects caused it."""
+    size = ResourceVector(1_000, 10)
+    harness.send(StartRun("j/0/0", 1, "spec", size, 400.0, crashes=1))
+    harness.send(StartRun("j/0/1", 1, "spec", size, 400.0, crashes=1))
+    harness.send(StartRun("j/0/2", 1, "spec", size, 400.0))
+    for call in [call for call in harness.calls if isinstance(call, CallStart)]:
+        harness.answer(call)
+    assert harness.ends() == [("j/0/1", 1, "rejected", SUSPECT_RUNNING)]
+    harness.now += 40.0
+    refuse_hold(harness)
+    assert crashes(harness) == [UpstreamCrash("u1@1000", ["j/0/0", "j/0/2"], ["j/0/0"])]
+
+
 def test_orders_of_an_ended_session_start_nothing(harness: ExecutorHarness) -> None:
     """A frame delayed by a network partition arrives after its session has ended."""
     assert harness.channel is not None
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -6,14 +6,17 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 
 import pytest
 
-from .jobsim import RESUBMIT_DELAY_MS, JobSim
+from snipewell.job import JobEnded, JobState
+
+from .jobsim import RESUBMIT_DELAY_MS, Client, JobSim
 
 SEEDS = range(12)
+DEADLY_SEEDS = range(24)
 FAULT_MS = 6_000.0
 """Period in which jobs are submitted and faults begin."""
 
@@ -116,7 +119,9 @@
     agent.holding = False
     sim.after(
         200,
-        lambda: agent.run_or_defer(lambda: agent.core.on_heartbeat(upstream.describe(), sim.now)),
+        lambda: agent.run_or_defer(
+            lambda: agent.core.on_heartbeat(upstream.describe(), agent.clock.now_ms())
+        ),
     )
 
 
@@ -270,6 +275,88 @@
     check_invariants(sim)
 
 
+def simulate_deadly_job(seed: int, tasks: int, entry_killed: bool) -> tuple[JobSim, Client]:
+    """Run a fleet under a light load with one job whose tasks crash their upstreams.
+
+    With ``entry_killed``, the entry that owns the job is killed at random times, and the client
+    submits the job again at any entry.
+    """
+    sim = JobSim(seed, agent_count=8)
+    rng = Random(seed * 11 + 3)
+    sim.run(500)
+    for _ in range(30):
+        at, entry = rng.uniform(0, FAULT_MS), rng.choice(sim.entries)
+        count, work = rng.choice([1, 1, 2]), rng.choice([100.0, 300.0, 900.0])
+        sim.after(at, lambda e=entry, t=count, w=work: sim.submit(e, t, w))  # type: ignore[misc]
+    sim.run(1_000)
+    client = sim.submit(rng.choice(sim.entries), tasks, 300.0, deadly=True)
+
+    def kill_owner() -> None:
+        if client.outcome is None:
+            client.entry.kill()
+
+    if entry_killed:
+        for _ in range(3):
+            sim.after(rng.uniform(5, 3_000), kill_owner)
+    sim.run(FAULT_MS)
+    for _ in range(50):
+        if sim.is_idle():
+            break
+        sim.run(500)
+    return sim, client
+
+
+def simulate_deadly_jobs() -> Iterator[tuple[JobSim, Client]]:
+    for seed in DEADLY_SEEDS:
+        for entry_killed in (False, True):
+            yield simulate_deadly_job(seed, 1 + seed % 2, entry_killed)
+
+
+def test_task_that_crashes_upstreams_is_given_up() -> None:
+    """Guards against a task that crashes one upstream after the other without an end."""
+    for sim, client in simulate_deadly_jobs():
+        case = f"seed {sim.seed}"
+        assert sim.starts_after_crashes(3) == [], case
+        assert isinstance(client.outcome, JobEnded), case
+        assert client.outcome.state is JobState.FAILED, case
+        check_invariants(sim)
+
+
+def test_jobs_beside_a_task_that_crashes_upstreams_complete() -> None:
+    """Guards against jobs that fail because their tasks ran beside one that crashes upstreams."""
+    for sim, client in simulate_deadly_jobs():
+        outcomes = {other.job: other.outcome for other in sim.clients if other is not client}
+        completed = JobEnded(JobState.COMPLETED)
+        assert {job: end for job, end in outcomes.items() if end != completed} == {}, sim.seed
+        check_invariants(sim)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("name", sorted(FAULTS.keys() - {"defer_upstream_calls"}))
+def test_invariants_hold_with_crashing_tasks_under_one_kind_of_fault(name: str, seed: int) -> None:
+    """Guards against overlapping runs after runs were ended for want of a listener.
+
+    Late orders that outlive the crash of their upstream are left out: they may start there before
+    its agent knows of the new incarnation.
+    """
+    sim = JobSim(seed, agent_count=6)
+    rng = Random(seed * 17 + 5)
+    sim.run(500)
+    for number in range(43):
+        at, entry = rng.uniform(0, FAULT_MS), rng.choice(sim.entries)
+        tasks, work, deadly = rng.choice([1, 2, 4]), rng.choice([100.0, 900.0]), number < 3
+        sim.after(at, lambda e=entry, t=tasks, w=work, d=deadly: sim.submit(e, t, w, d))  # type: ignore[misc]
+    for _ in range(2):
+        sim.after(rng.uniform(500, FAULT_MS), lambda: FAULTS[name](sim, rng))
+    sim.run(FAULT_MS + 4_500)
+    sim.heal()
+    for _ in range(50):
+        if sim.is_idle():
+            break
+        sim.run(500)
+    check_invariants(sim)
+
+
 def main() -> None:
     """Simulate ``--runs`` seeds from ``--seed`` on and print those that violate an invariant."""
     parser = argparse.ArgumentParser(description=main.__doc__)
