--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -166,6 +166,23 @@
     assert harness.core.running == 0
 
 
+def test_runs_that_are_being_stopped_count_against_a_capacity_that_shrank(
+    harness: ExecutorHarness,
+) -> None:
+    """A start that brings an upstream over its capacity, if it doesn't check that itself."""
+    harness.answer(harness.start("j/0/0", cpu=4_000))
+    harness.send(StopRun("j/0/0", 1))
+    harness.core.on_heartbeat(replace(UPSTREAM, capacity=ResourceVector(6_000, 1_000)), harness.now)
+    harness.send(StartRun("j/0/1", 1, "spec", ResourceVector(3_000, 10), 400.0))
+    assert harness.ends() == [("j/0/1", 1, "rejected", NO_CAPACITY)]
+    harness.ended.append(EndRow(1, "j/0/0", 1, RunEnd.STOPPED))
+    harness.answer_hold()
+    harness.answer(harness.start("j/0/2", cpu=6_000))
+    harness.core.on_heartbeat(UPSTREAM, harness.now)
+    harness.answer(harness.start("j/0/3", cpu=4_000))
+    assert harness.core.running == 2
+
+
 def test_an_ended_run_is_acknowledged_when_no_other_run_is_left(harness: ExecutorHarness) -> None:
     harness.answer(harness.start())
     harness.ended.append(EndRow(7, "j/0/0", 1, RunEnd.DONE))
