--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -43,7 +43,7 @@
 SESSION_TIMEOUT_MS = 900.0
 """Session timeout: the runs of an entry that was silent for this long are stopped. A client
 resubmits its job 1,300 ms after a lost answer (``resendIntervalMs``), which leaves 400 ms to
-stop the runs, one lost stop included."""
+stop the runs, `STOP_MARGIN_MS` of it for orders without an answer."""
 STOP_REPEAT_MS = 20.0
 """Wait before a stop order without an answer is repeated. The upstream answers within a few
 milliseconds, and a repeated stop does no harm."""
@@ -51,7 +51,7 @@
 """Wait before a stop order that was answered is repeated, if the run hasn't ended; three times the
 upstream's ``stopGraceMs``. Also the wait after `STOP_MARGIN_MS` without an answer."""
 STOP_MARGIN_MS = 300.0
-"""Time for an agent to stop the runs of a silent entry, including ten unanswered stop orders. The
+"""Time for an agent to stop the runs of a silent entry, including several unanswered stop orders. The
 entry starts their tasks elsewhere after it."""
 MAX_HANDSHAKE_MS = 250.0
 """Largest age of a session at which the first frame of the entry is accepted, which bounds the
