--- a/snipewell/entrysession.py
+++ b/snipewell/entrysession.py
@@ -51,8 +51,8 @@
 """Wait before a stop order that was answered is repeated, if the run hasn't ended; three times the
 upstream's ``stopGraceMs``. Also the wait after `STOP_MARGIN_MS` without an answer."""
 STOP_MARGIN_MS = 300.0
-"""Time for an agent to stop the runs of a silent entry, including several unanswered stop orders. The
-entry starts their tasks elsewhere after it."""
+"""Time for an agent to stop the runs of a silent entry, including several unanswered stop orders.
+The entry starts their tasks elsewhere after it."""
 MAX_HANDSHAKE_MS = 250.0
 """Largest age of a session at which the first frame of the entry is accepted, which bounds the
 error in the age of later frames. If the frame arrives later, the session is replaced at once, which
