--- a/snipewell/crashes.py
+++ b/snipewell/crashes.py
@@ -4,8 +4,8 @@
 crashes of each task, also of tasks that it doesn't own: it may get their job later.
 
 Tasks that merely ran beside the one that caused a crash are counted too. A task with a crash is a
-suspect, and an agent runs one suspect at a time: the next crash tells them apart. Once a task is
-found to be the cause, its crashes don't count against the others.
+suspect, and suspects are kept apart for a while: the next crash tells which is the cause. Its
+crashes then don't count against the others.
 """
 
 from __future__ import annotations
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -535,7 +535,7 @@
             return "the upstream doesn't answer"
         if any(task == order.task for task, _ in self._runs):
             return BUSY_TASK
-        if order.crashes and any(run.order.crashes for run in self._runs.values()):
+        if order.apart and any(run.order.crashes for run in self._runs.values()):
             # A crash would not show which of the two caused it.
             return SUSPECT_RUNNING
         if not order.resources.fits(self._free()):
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -33,6 +33,8 @@
     avoid: set[UpstreamId] = field(default_factory=set)
     """Upstreams on which a run failed, was lost or was slow."""
     waiting_since_ms: float = 0.0
+    lost_ms: float = float("-inf")
+    """Time at which a run was last lost."""
     not_before_ms: float = float("-inf")
     """Earliest time of the next start."""
 
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -45,6 +45,8 @@
 different kinds differ by up to this factor."""
 MIN_MOVE_SPEEDUP = 1.3
 """A slow run is moved if its remaining time is at least this many times its duration elsewhere."""
+MAX_APART_MS = 500.0
+"""Longest time for which a suspect waits for an upstream that runs no other one."""
 MAX_MOVES = 3
 """Maximum number of times that one task is moved."""
 
@@ -55,7 +57,7 @@
     ``start`` is called for each task to start, ``refuse`` for each job to refuse, and ``log`` with
     the text and the fields of each decision to log. ``runs`` holds the runs in progress;
     ``stopping`` the names of tasks with a run that is being stopped, which may not start yet.
-    ``crashes`` tells which tasks are suspects, of which an agent runs one at a time.
+    ``crashes`` tells which tasks are suspects, which are kept apart.
     """
 
     def __init__(
@@ -245,19 +247,27 @@
         """
         for task in tasks:
             step = task.job.spec.steps[task.step]
-            suspect = self._crashes.count(task.name, now_ms) > 0
             requirements = TaskRequirements(
                 step,
                 task.avoid,
                 end_by_ms - now_ms,
                 require_reserve,
-                self._find_with_suspects(now_ms) if suspect else (),
+                self._find_with_suspects(now_ms) if self.must_run_apart(task, now_ms) else (),
             )
             candidate = self._claim_probe(requirements, now_ms) or pool.find(requirements)
             if candidate is not None:
                 pool.allocate(candidate, step.resources)
                 self._start_run(task, candidate, now_ms)
 
+    def must_run_apart(self, task: Task, now_ms: float) -> bool:
+        """Return whether ``task`` is a suspect that may not run beside another one yet.
+
+        After the loss of many upstreams there may be more suspects than upstreams, so none waits
+        for one of its own for longer than `MAX_APART_MS`.
+        """
+        since_ms = max(task.lost_ms, task.job.timing.arrived_ms)
+        return now_ms - since_ms < MAX_APART_MS and self._crashes.count(task.name, now_ms) > 0
+
     def _find_with_suspects(self, now_ms: float) -> set[UpstreamId]:
         """Return the upstreams that run a suspect, as far as it is known here."""
         running = {
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -122,6 +122,8 @@
     """The client's estimate of the duration, in milliseconds."""
     crashes: int = 0
     """Number of recent crashes of upstreams under the task. A task with any is a suspect."""
+    apart: bool = False
+    """Whether the agent rejects the task while another suspect is running."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -499,6 +499,7 @@
             case _:
                 self.counters.lost_runs += 1
                 task.lost += 1
+                task.lost_ms = now_ms
                 task.avoid.add(view.upstream)
                 if task.lost >= MAX_LOST_RUNS:
                     reason = f"task {task.name} was lost {task.lost} times"
@@ -534,6 +535,7 @@
             step.resources,
             step.estimate_ms,
             self._crashes.count(task.name, now_ms),
+            self._placer.must_run_apart(task, now_ms),
         )
         self.sessions.send(view, order, now_ms)
         self._log(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -26,7 +26,7 @@
     RunEnd,
     StepSpec,
 )
-from snipewell.placer import CAPACITY_GROWTH_GRACE_MS, MIN_SATURATION_MS
+from snipewell.placer import CAPACITY_GROWTH_GRACE_MS, MAX_APART_MS, MIN_SATURATION_MS
 from snipewell.runmessage import (
     NO_CAPACITY,
     SUSPECT_RUNNING,
@@ -273,6 +273,23 @@
     assert len(agent.starts) == 2
 
 
+def test_no_suspect_waits_long_for_an_upstream_of_its_own(harness: Harness) -> None:
+    """Guards against tasks that queue behind one another after the loss of many upstreams."""
+    make_suspects(harness, "j1/0/0", "j1/0/1", "j1/0/2", "j1/0/3")
+    harness.submit(tasks=4)
+    assert len(harness.starts()) == 2
+    harness.advance(MAX_APART_MS - 40)
+    assert len(harness.starts()) == 2
+    harness.advance(80)
+    assert len(harness.starts()) == 4
+    assert [run.apart for _, run in sorted(harness.starts(), key=lambda s: s[1].task)] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+
+
 def test_a_suspect_rejected_beside_another_one_starts_elsewhere_at_once() -> None:
     """Guards against an upstream that gets no work because it runs a suspect of another entry."""
     harness = Harness()
