--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -75,9 +75,9 @@
 """Time without an answer after which the lease is no longer renewed and no task is started: two or
 three calls in a row were lost then. A call without an answer may still have renewed the lease, so
 the runs of an upstream that is gone could never be given up if the renewal went on."""
-PROCESS_STALL_MS = 300.0
-"""Gap between two ticks that counts as a stall of the process: several times the longest interval
-between them."""
+TICK_GAP_MS = 300.0
+"""Gap between two ticks from which the process counts as stalled: several times their longest
+interval."""
 STALL_MS = 500.0
 """Shortest time without progress after which a run is stopped as stalled."""
 STALL_SHARE = 0.35
@@ -721,7 +721,7 @@
 
     def tick(self, now_ms: float) -> None:
         """Process timeouts of sessions, orders and leases, and repeat unacknowledged messages."""
-        if now_ms - self._last_tick_ms >= PROCESS_STALL_MS:
+        if now_ms - self._last_tick_ms >= TICK_GAP_MS:
             self._resumed_ms = now_ms
         self._last_tick_ms = now_ms
         self._check_upstream(now_ms)
