--- a/review/fleet.py
+++ b/review/fleet.py
@@ -246,7 +246,7 @@
         upstream = self._upstream_type(name, machine.zone, SERVICE, 8_000, self.rng)
         with open_listener("127.0.0.1", 0) as listener:
             port = listener.getsockname()[1]
-        extra.append(f"app=127.0.0.1:{port}")
+        extra += [f"app=127.0.0.1:{port}", f"service={SERVICE}"]
         self.upstreams.append(upstream)
         registration = f"{machine.ip}:8166"
         self._tasks.append(
