Log which upstream a new registration replaces, and how many runs it had

Lines such as "executor: run ended ... how=lost reason=a new life of the upstream" say that an agent gave runs up for another registration, but not what that registration was: an upstream that restarted, or a heartbeat of another writer. The line of a new incarnation now has its service and address, the upstream that it replaces and the number of runs there.

No change of behaviour.

--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -209,7 +209,11 @@
             "new incarnation of the upstream",
             upstream=upstream.upstream,
             born_ms=upstream.born_ms,
+            service=upstream.service,
+            address=upstream.address,
             draining=upstream.draining,
+            previous="" if self._upstream is None else self._upstream.upstream,
+            runs=len(self._runs),
         )
         self._reconciled = False
         if self._upstream is not None and self._is_crash(self._upstream, upstream):
