Replace a registered upstream only by one that answers at its address

Cause: the agent took the heartbeat with the latest start time for the present upstream of its VM and ended all runs of the registered one as lost, although nothing showed that it was gone. The upstream's own heartbeats then counted as stale, so it got no further work.

Change: the executor asks the address for the lists of the other incarnation and replaces the registered one only when that incarnation answers. Heartbeats with another service or address than in the settings are rejected, and the sequence of heartbeats is kept for each incarnation. Start times aren't compared any more, so an upstream whose clock went back can register again. A deregistration counts for the upstream it names.

--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -12,6 +12,10 @@
 raises the token and fetches the upstream's list of runs: once it has the list, the start has either
 been executed or never will be.
 
+A heartbeat of another incarnation doesn't show that the registered one is gone: it may have been
+delayed, or sent by another writer. The executor therefore asks the address of the upstream for the
+lists of that incarnation first, which any other one refuses.
+
 If the address of the upstream refuses a connection, no process listens there. The runs whose start
 was sent before that call have ended with the process, and the executor polls for the next
 incarnation.
@@ -23,6 +27,7 @@
 from dataclasses import dataclass, field
 
 from .entrysession import STOP_MARGIN_MS, EntrySessions, SendFrame
+from .ids import UpstreamId
 from .job import ResourceVector, RunEnd
 from .lease import LeaseClock
 from .run import MIN_PROJECTED_PERCENT, SLOW_REPORT_MS, Run, RunState
@@ -51,6 +56,7 @@
     StartResult,
     Upstream,
     is_same_incarnation,
+    is_same_upstream,
 )
 
 ORDER_TIMEOUT_MS = 120.0
@@ -137,6 +143,9 @@
         self._fence_step = FENCING_TOKEN_STEP
         self._max_lease_ms = max_lease_ms
         self._upstream: Upstream | None = None
+        self._successor: Upstream | None = None
+        """Incarnation that sent a heartbeat and replaces ``_upstream`` once it answers a call."""
+        self._successor_poll_sent_ms = float("-inf")
         self._reconciled = False
         self._lease = LeaseClock()
         self._speed = SlownessEstimator()
@@ -179,13 +188,17 @@
     # Upstream registration and lists of runs.
 
     def on_heartbeat(self, upstream: Upstream, now_ms: float) -> None:
-        """Update the registration of the upstream from its heartbeat."""
+        """Update the registration of the upstream from its heartbeat.
+
+        The heartbeat of another incarnation than the registered one takes effect when that
+        incarnation has answered a call.
+        """
         previous = self._upstream
-        if previous is None or (previous.upstream, previous.born_ms, previous.address) != (
-            upstream.upstream,
-            upstream.born_ms,
-            upstream.address,
-        ):
+        if previous is None:
+            self._on_new_incarnation(upstream, now_ms)
+        elif not is_same_upstream(previous, upstream):
+            self._on_successor(upstream, now_ms)
+        elif previous.address != upstream.address:
             self._on_new_incarnation(upstream, now_ms)
         elif previous != upstream:
             if upstream.draining and not previous.draining:
@@ -193,17 +206,67 @@
             self._upstream = upstream
         self.entries.report(now_ms)
 
-    def on_deregistration(self, reason: str, now_ms: float) -> None:
-        """Remove the upstream after it deregistered, and end its runs as lost."""
-        if self._upstream is None:
+    def on_deregistration(self, upstream: UpstreamId, reason: str, now_ms: float) -> None:
+        """Remove ``upstream`` after it deregistered, and end its runs as lost."""
+        if self._successor is not None and self._successor.upstream == upstream:
+            self._successor = None
+        if self._upstream is None or self._upstream.upstream != upstream:
             return
         self._note("upstream deregistered", upstream=self._upstream.upstream, reason=reason)
         self._upstream = None
         self._down_since_ms = None
         self._expired.clear()
         self._drop_runs(reason, now_ms)
+        if self._successor is not None:
+            self._on_new_incarnation(self._successor, now_ms)
         self.entries.report(now_ms)
 
+    def _on_successor(self, upstream: Upstream, now_ms: float) -> None:
+        """Request the lists of runs of another incarnation, to learn whether it is the one here."""
+        if self._successor is None or not is_same_upstream(self._successor, upstream):
+            self._note(
+                "heartbeat of another incarnation; asking the upstream",
+                upstream=upstream.upstream,
+                born_ms=upstream.born_ms,
+            )
+        self._successor = upstream
+        self._poll_successor(now_ms)
+
+    def _poll_successor(self, now_ms: float) -> None:
+        assert self._successor is not None
+        self._successor_poll_sent_ms = now_ms
+        self.effects.append(CallHold(self._successor, None, self._fence, 0, 0, now_ms))
+
+    def _is_successor_call(self, call: CallHold) -> bool:
+        """Return whether ``call`` asked the incarnation that may replace the registered one."""
+        return is_same_incarnation(call, self._successor)
+
+    def _on_successor_lists(self, runs: RunLists, now_ms: float) -> None:
+        """Register the successor if it is the incarnation that answered."""
+        assert self._successor is not None and self._upstream is not None
+        successor = self._successor
+        if runs.born_ms is None:
+            # Only the times of the heartbeats tell two incarnations under one id apart.
+            same_id = successor.upstream == self._upstream.upstream
+            confirmed = not same_id or successor.born_ms > self._upstream.born_ms
+        else:
+            confirmed = runs.born_ms == successor.born_ms
+        if confirmed:
+            self._on_new_incarnation(successor, now_ms)
+        else:
+            self._refute_successor("another incarnation answers", runs.born_ms)
+
+    def _refute_successor(self, reason: str, born_ms: int | None = None) -> None:
+        assert self._successor is not None
+        self._note(
+            "registration ignored",
+            upstream=self._successor.upstream,
+            born_ms=self._successor.born_ms,
+            reason=reason,
+            answering_born_ms=born_ms,
+        )
+        self._successor = None
+
     def _on_new_incarnation(self, upstream: Upstream, now_ms: float) -> None:
         self._note(
             "new incarnation of the upstream",
@@ -227,6 +290,7 @@
         else:
             self._drop_runs("a new life of the upstream", now_ms)
         self._upstream = upstream
+        self._successor = None
         # Invalidates orders to an earlier incarnation that this one may still execute.
         self._fence += 1
         self._lease.reset()
@@ -309,6 +373,10 @@
 
         ``runs`` is None if the call failed or got no answer.
         """
+        if self._is_successor_call(call):
+            if runs is not None:
+                self._on_successor_lists(runs, now_ms)
+            return
         if self._upstream is None or not is_same_incarnation(call, self._upstream):
             return
         if runs is None:
@@ -346,7 +414,10 @@
             self.entries.report(now_ms)
 
     def on_hold_refused(self, call: CallHold, now_ms: float) -> None:
-        """Process a ``call`` that the upstream's address refused."""
+        """Process a ``call`` that the upstream's address refused.
+
+        A successor may register before it listens, so it is asked again later.
+        """
         if self._upstream is None or not is_same_incarnation(call, self._upstream):
             return
         if self._may_be_starting_or_leaving(self._upstream):
@@ -394,8 +465,20 @@
         self._poll_runs(now_ms)
         self.entries.report(now_ms)
 
+    def on_hold_elsewhere(self, call: CallHold, now_ms: float) -> None:
+        """Process a ``call`` that was refused by an upstream with another id than intended."""
+        if self._is_successor_call(call):
+            self._refute_successor("an upstream with another id answers")
+        else:
+            self.on_hold(call, None, now_ms)
+
     def on_hold_fenced(self, call: CallHold, now_ms: float) -> None:
         """Raise the fencing token after the upstream refused ``call`` for a token below its own."""
+        if self._is_successor_call(call):
+            # An upstream with another id would have refused the call for that reason.
+            assert self._successor is not None
+            self._on_new_incarnation(self._successor, now_ms)
+            return
         self._unanswered_since_ms = float("inf")
         if call.fence == self._fence and self._upstream is not None:
             self._raise_fence()
@@ -755,6 +838,8 @@
         )
         if needs_poll and now_ms - self._poll_sent_ms >= POLL_RETRY_MS:
             self._poll_runs(now_ms)
+        if self._successor is not None and now_ms - self._successor_poll_sent_ms >= POLL_RETRY_MS:
+            self._poll_successor(now_ms)
         # If the VM was suspended, the clock of the upstream may have stood still as well.
         answer_by_ms = self._resumed_ms + UPSTREAM_SILENCE_MS
         if self._runs and now_ms > max(self._lease.expired_by_ms(), answer_by_ms):
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -32,7 +32,7 @@
     Executor,
     LogRecord,
 )
-from .ids import new_incarnation
+from .ids import UpstreamId, new_incarnation
 from .log import Log
 from .logbuffer import LogBuffer
 from .metrics import Metrics
@@ -137,9 +137,9 @@
         """Pass a heartbeat of the upstream to the executor."""
         await self._task.put(self._core.on_heartbeat, upstream)
 
-    async def on_deregistration(self, reason: str) -> None:
-        """Pass the deregistration of the upstream to the executor."""
-        await self._task.put(self._core.on_deregistration, reason)
+    async def on_deregistration(self, upstream: UpstreamId, reason: str) -> None:
+        """Pass the deregistration of ``upstream`` to the executor."""
+        await self._task.put(self._core.on_deregistration, upstream, reason)
 
     def _declare_metrics(self) -> None:
         core, counters = self._core, self._core.counters
@@ -220,9 +220,13 @@
                 self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
                 await self._task.put(self._core.on_hold_refused, call)
             case _:
-                self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
+                if regular or answer is not StartResult.OTHER_INSTANCE:
+                    self._next_hold_at_ms = self._clock.now_ms() + HOLD_RETRY_MS
                 self._log.info("executor", "no lists of runs received", reason=answer.value)
-                await self._task.put(self._core.on_hold, call, None)
+                if answer is StartResult.OTHER_INSTANCE:
+                    await self._task.put(self._core.on_hold_elsewhere, call)
+                else:
+                    await self._task.put(self._core.on_hold, call, None)
 
     async def _on_connection_open(self, entry: str) -> None:
         await self._task.put(self._core.entries.on_connected, entry)
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -75,7 +75,7 @@
     from .configuration import ZONE_KEYS
     from .registration import Registrar
     from .store import PlatformStore
-    from .upstream import UpstreamClient
+    from .upstream import ExpectedUpstream, UpstreamClient
 
     settings = JobAgentSettings(
         boot.name, boot.zone, METRICS_PORT, boot.max_lease_ms, boot.grace_ms
@@ -88,7 +88,8 @@
     store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
     upstream = UpstreamClient()
     agent = JobAgent(settings, store, ZONE_KEYS, upstream, clock, Random(), log, buffer)
-    registrar = Registrar(agent, log)
+    expected = ExpectedUpstream(boot.service, boot.upstream_address)
+    registrar = Registrar(agent, log, expected)
     curio.run(agent.run, registrar.handle, listener, selector=LazySelector())
 
 
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -30,6 +30,8 @@
     """Address that the upstream on this VM registers at (``listenAddresses.controlPlane``)."""
     upstream_address: str
     """Address that the upstream on this VM accepts calls at (``app``)."""
+    service: str
+    """Service of the upstream on this VM."""
     store_address: str
     """Address of the metadata store (``platform.address``)."""
     first_port: int
@@ -88,6 +90,7 @@
         readiness_address=get_text("listenAddresses.readiness", ""),
         registration_address=get_text("listenAddresses.controlPlane", ""),
         upstream_address=get_text("app", ""),
+        service=get_text("service", ""),
         store_address=get_text("platform.address"),
         first_port=int(ports[0]),
         max_lease_ms=get_number("bounds.maxHoldMs", 1_000),
--- a/snipewell/platform/registration.py
+++ b/snipewell/platform/registration.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import Protocol
 
+from ..ids import UpstreamId
 from ..log import Log
 from ..upstreamcall import Upstream
 from ..web import Request, Response
 from .jobs import encode_error
-from .upstream import RegistrationError, decode_heartbeat, parse_registration_path
+from .upstream import (
+    ExpectedUpstream,
+    RegistrationError,
+    decode_heartbeat,
+    parse_registration_path,
+)
+
+MAX_ORDERED_INCARNATIONS = 16
+"""Number of incarnations whose heartbeats are kept in order. Heartbeats of an earlier incarnation
+may be delayed by seconds, in which few others start."""
 
 
 class Agent(Protocol):
@@ -18,23 +29,24 @@
         """Process a heartbeat, which describes the upstream."""
         ...
 
-    async def on_deregistration(self, reason: str) -> None:
-        """Process the deregistration of the upstream."""
+    async def on_deregistration(self, upstream: UpstreamId, reason: str) -> None:
+        """Process the deregistration of ``upstream``."""
         ...
 
 
 class Registrar:
-    """Handles registration calls and keeps heartbeats in order.
+    """Handles registration calls and keeps the heartbeats of each incarnation in order.
 
-    A heartbeat that arrives after one of a newer incarnation or with a higher sequence number is
-    ignored.
+    A heartbeat that arrives after one of the same incarnation with a higher sequence number is
+    ignored. Which incarnation is the present one is up to the agent.
     """
 
-    def __init__(self, agent: Agent, log: Log) -> None:
+    def __init__(self, agent: Agent, log: Log, expected: ExpectedUpstream | None = None) -> None:
         self._agent = agent
         self._log = log
-        self._newest: tuple[int, str, int] = (-1, "", -1)
-        """Start time (``born``), ID and sequence number of the newest heartbeat."""
+        self._expected = expected or ExpectedUpstream()
+        self._sequences: OrderedDict[tuple[UpstreamId, int], int] = OrderedDict()
+        """Highest sequence number by ID and start time (``born``) of the latest incarnations."""
 
     async def handle(self, request: Request) -> Response:
         """Respond to a heartbeat or a deregistration."""
@@ -43,23 +55,26 @@
             return encode_error(404, "no such resource")
         upstream, call = named
         if call == "deregister":
-            if upstream == self._newest[1]:
-                await self._agent.on_deregistration("it has left")
+            await self._agent.on_deregistration(UpstreamId(upstream), "it has left")
             return Response.from_json(200, {})
         try:
-            description, sequence = decode_heartbeat(upstream, request.body)
+            description, sequence = decode_heartbeat(upstream, request.body, self._expected)
         except RegistrationError as error:
             self._log.error("upstream", "malformed heartbeat", upstream=upstream, why=str(error))
             return encode_error(400, str(error))
         if self._is_stale(description, sequence):
             self._log.info("upstream", "stale heartbeat ignored", upstream=upstream)
             return Response.from_json(200, {})
-        self._newest = (description.born_ms, upstream, sequence)
         await self._agent.on_heartbeat(description)
         return Response.from_json(200, {})
 
     def _is_stale(self, description: Upstream, sequence: int) -> bool:
-        born_ms, upstream, newest_sequence = self._newest
-        if description.born_ms != born_ms:
-            return description.born_ms < born_ms
-        return description.upstream == upstream and sequence <= newest_sequence
+        """Return whether a later heartbeat of the incarnation was seen; else record this one."""
+        incarnation = (description.upstream, description.born_ms)
+        if sequence <= self._sequences.get(incarnation, -1):
+            return True
+        self._sequences[incarnation] = sequence
+        self._sequences.move_to_end(incarnation)
+        if len(self._sequences) > MAX_ORDERED_INCARNATIONS:
+            self._sequences.popitem(last=False)
+        return False
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -46,7 +47,16 @@
 
 
 class RegistrationError(Exception):
-    """Raised for a malformed heartbeat, which doesn't register an upstream."""
+    """Raised for a heartbeat that is malformed or describes an upstream of another VM."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedUpstream:
+    """What the settings say of the upstream on this VM; an empty string leaves a field open."""
+
+    service: str = ""
+    address: str = ""
+    """``ip:port`` at which the upstream accepts calls."""
 
 
 class _Capacity(msgspec.Struct):
@@ -86,10 +96,13 @@
     born: int | None = None
 
 
-def decode_heartbeat(upstream: str, body: bytes) -> tuple[Upstream, int]:
+def decode_heartbeat(
+    upstream: str, body: bytes, expected: ExpectedUpstream | None = None
+) -> tuple[Upstream, int]:
     """Decode a heartbeat; return the description of the upstream and the sequence number.
 
-    Raise RegistrationError if a field is missing or has a wrong type, or the state is unknown.
+    Raise RegistrationError if a field is missing or has a wrong type, the state is unknown, or
+    service or address aren't the ``expected`` ones.
     """
     try:
         heartbeat = msgspec.json.decode(body, type=_Heartbeat)
@@ -99,6 +112,14 @@
         raise RegistrationError(f"state: expected ready or draining, got {heartbeat.state[:40]!r}")
     if not heartbeat.address or not heartbeat.service:
         raise RegistrationError("expected an address and a service")
+    if expected is not None and expected.service not in ("", heartbeat.service):
+        raise RegistrationError(
+            f"service: expected {expected.service}, got {heartbeat.service[:40]!r}"
+        )
+    if expected is not None and expected.address not in ("", heartbeat.address):
+        raise RegistrationError(
+            f"address: expected {expected.address}, got {heartbeat.address[:40]!r}"
+        )
     capacity = ResourceVector(
         heartbeat.capacity.cpu, heartbeat.capacity.memMb, heartbeat.capacity.gpus
     )
--- a/snipewell/standins/platformupstream.py
+++ b/snipewell/standins/platformupstream.py
@@ -131,13 +131,18 @@
             await heartbeats.cancel()
             await self._server.stop(0)
 
-    async def _send_heartbeats(self, agent_address: str, heartbeat_ms: float) -> None:
+    @property
+    def address(self) -> str:
+        """Address that the heartbeats announce, while `run` is in progress."""
         assert self._server is not None
+        return self.advertised_address or f"127.0.0.1:{self._server.address[1]}"
+
+    async def _send_heartbeats(self, agent_address: str, heartbeat_ms: float) -> None:
         while True:
             self._sequence += 1
             body = {
                 "service": self.service,
-                "address": self.advertised_address or f"127.0.0.1:{self._server.address[1]}",
+                "address": self.address,
                 "zone": self.zone,
                 "state": "draining" if self.draining else "ready",
                 "sequence": self._sequence,
--- a/snipewell/upstreamcall.py
+++ b/snipewell/upstreamcall.py
@@ -120,8 +120,11 @@
     sent_ms: float
 
 
+def is_same_upstream(first: Upstream, second: Upstream) -> bool:
+    """Return whether both describe the same incarnation of the same upstream."""
+    return (first.upstream, first.born_ms) == (second.upstream, second.born_ms)
+
+
 def is_same_incarnation(call: CallHold | CallStart | CallStop, upstream: Upstream | None) -> bool:
     """Return whether ``call`` was addressed to the incarnation that ``upstream`` describes."""
-    if upstream is None:
-        return False
-    return (call.upstream.upstream, call.upstream.born_ms) == (upstream.upstream, upstream.born_ms)
+    return upstream is not None and is_same_upstream(call.upstream, upstream)
--- a/tests/jobfleet.py
+++ b/tests/jobfleet.py
@@ -113,6 +113,8 @@
 
     max_sends = 6
     """Number of times that a client sends its job before it gives up."""
+    names_upstreams = True
+    """Whether the settings of the agents name the service and the address of their upstreams."""
 
     def __init__(self, directory: Path, seed: int, entries: int = 2, agents: int = 3) -> None:
         self.rng = Random(seed)
@@ -139,6 +141,9 @@
             self._configure_upstream(upstream, port)
             self._tasks.append(await curio.spawn(upstream.run, address, 500.0, port, daemon=True))
             extra_settings = [f"listenAddresses.controlPlane={address}"]
+            if self.names_upstreams:
+                app = upstream.advertised_address or f"127.0.0.1:{port}"
+                extra_settings += [f"app={app}", f"service={SERVICE}"]
             self.agents.append(
                 self._create_daemon("agent", f"agent-{number}", store, extra_settings, address)
             )
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -7,12 +7,16 @@
 from pathlib import Path
 
 import curio
+import msgspec
 import pytest
 
+from snipewell.client import fetch
+from snipewell.clock import SystemClock
 from snipewell.standins.metadata import StoreFaults
 from snipewell.standins.platformupstream import UpstreamFaults
+from snipewell.web import Request
 
-from .jobfleet import JobFleet
+from .jobfleet import Daemon, JobFleet, free_port
 
 LOAD_S = 6.0
 JOBS_PER_S = 6.0
@@ -108,6 +112,61 @@
     check_invariants(fleet)
 
 
+async def send_heartbeat(agent: Daemon, upstream: str, body: bytes) -> int:
+    """Send a heartbeat as another writer would; return the response status."""
+    path = f"/snipewell/instances/{upstream}/heartbeat"
+    headers = {"content-type": "application/json"}
+    return (await fetch(agent.address, Request("POST", path, {}, headers, body), 1_000)).status
+
+
+def foreign_heartbeat(port: int) -> dict[str, object]:
+    """Return the heartbeat of an upstream of another service, which doesn't run here."""
+    return {
+        "service": "somebody-elses-service",
+        "address": f"127.0.0.1:{port}",
+        "zone": "z9",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "capacity": {"cpu": 16_000, "memMb": 32_768, "gpus": 0},
+        "labels": ["a"],
+        "clockMs": 1_000,
+        "sequence": 1,
+        "born": SystemClock().wall_ms(),
+    }
+
+
+@pytest.mark.parametrize("names_upstreams", [True, False])
+def test_a_heartbeat_of_another_writer_ends_no_run(tmp_path: Path, names_upstreams: bool) -> None:
+    """Guards against overlapping runs after a registration of an upstream elsewhere (review/2)."""
+    fleet = JobFleet(tmp_path, 6)
+    fleet.names_upstreams = names_upstreams
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            jobs = [await curio.spawn(fleet.submit, 4, 1_500.0) for _ in range(2)]
+            await curio.sleep(0.6)
+            for agent, upstream in zip(fleet.agents, fleet.upstreams, strict=True):
+                # Without the settings, only a call to the address shows that it is another one.
+                port = free_port() if names_upstreams else int(upstream.address.split(":")[1])
+                body = msgspec.json.encode(foreign_heartbeat(port))
+                status = await send_heartbeat(agent, "i-other", body)
+                assert status == (400 if names_upstreams else 200)
+            for job in jobs:
+                await job.join()
+            # The upstreams take further jobs.
+            await fleet.submit(6, 50.0)
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+    check_invariants(fleet)
+    assert {client.state for client in fleet.clients} == {"completed"}
+    assert {run.attempt for run in fleet.runs()} == {1}
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_graceful_shutdown_aborts_no_job(tmp_path: Path, role: str) -> None:
     """Guards against work lost on SIGTERM.
