Bound the time for which a lost watch hides changes in the store

Cause: a watch that a silent store has taken is never answered, also when the store is back, and its peer acknowledges keep-alive probes. Only the timeout of the call ended it, after the wait of 20 s and 0.8 s.

Change: a watch waits for 2 s, so a lost one is sent again within 3.2 s. A VM counts as in touch 3 s after the outage and has 2 s to apply a change.

--- a/snipewell/standins/metadata.py
+++ b/snipewell/standins/metadata.py
@@ -19,17 +19,20 @@
 
 _POLL_S = 0.01
 """Interval in seconds at which a watch checks for events."""
+_FOREVER_S = 86_400.0
+"""Time in seconds that outlasts every test."""
 
 
 class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Faults in force.
 
-    With ``down``, every call gets status 503. ``slow_ms`` delays each response. ``lost`` is the
-    share of successful POST calls (writes, creation and renewal of leases) that take effect without
-    a response.
+    With ``down``, every call gets status 503. With ``silent``, no call gets a response, during the
+    fault or after it. ``slow_ms`` delays each response. ``lost`` is the share of successful POST
+    calls (writes, creation and renewal of leases) that take effect without a response.
     """
 
     down: bool = False
+    silent: bool = False
     slow_ms: float = 0.0
     lost: float = 0.0
 
@@ -96,18 +99,25 @@
         if request.path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=StoreFaults)
             return Response.from_json(200, {})
+        await self._wait_if_silent()
         if self.faults.slow_ms:
             await curio.sleep(self.faults.slow_ms / 1000)
         if self.faults.down:
             return Response.from_json(503, {"error": "down"})
         self._expire()
         response = await self._answer(request)
+        await self._wait_if_silent()
         is_post = request.method == "POST"
         if is_post and response.status == 200 and self._rng.random() < self.faults.lost:
             # Closes the connection without a response.
             raise ClientDisconnectedError
         return response
 
+    async def _wait_if_silent(self) -> None:
+        """Wait until the client gives up, if the store is silent now."""
+        if self.faults.silent:
+            await curio.sleep(_FOREVER_S)
+
     async def _answer(self, request: Request) -> Response:
         match request.method, request.path.split("/")[2:]:
             case "GET", ["kv-range"]:
--- a/snipewell/storetask.py
+++ b/snipewell/storetask.py
@@ -19,10 +19,12 @@
 from .log import Log
 from .store import Changes, Listing, PrefixWatcher, StoreUnreachableError, Watchable
 
-WATCH_WAIT_MS = 20_000.0
-"""Longest wait of a watch request, long because each request is charged for.
+WATCH_WAIT_MS = 2_000.0
+"""Longest wait of a watch request.
 
-Keep-alive probes detect a dead connection sooner.
+A store that was silent for a while never answers the watches that were sent to it meanwhile, and
+acknowledges keep-alive probes on their connections all the same. So the wait bounds the time for
+which a process misses changes after such an outage. Changes have to be in force after 2 s.
 """
 RETRY_MS = (100.0, 400.0)
 """Bounds in milliseconds of the random pause after a failed request to the store."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -99,7 +99,7 @@
 
 
 def _store_fault(fleet: SoakFleet, rng: Random) -> tuple[str, Action, Action]:
-    match rng.choice(["down", "slow", "lost", "forgets", "revokes"]):
+    match rng.choice(["down", "silent", "slow", "lost", "forgets", "revokes"]):
         case "forgets":
             return "the store compacts its history", fleet.store.compact_history, _no_action
         case "revokes":
@@ -111,6 +111,7 @@
         case name:
             faults = {
                 "down": StoreFaults(down=True),
+                "silent": StoreFaults(silent=True),
                 "slow": StoreFaults(slow_ms=300.0),
                 "lost": StoreFaults(lost=0.5),
             }[name]
