Reject heartbeats in which any documented field is missing or mistyped

The logs of the agents show odd heartbeats of another writer each second, and runs lost for "a new life of the upstream" between them.

What let the heartbeats in was the decoder, which declared only the fields that the product uses: with a missing or mistyped version, slots, coldRemainingMs, labels, gpus or clockMs they named an upstream.

Change: all documented fields are declared, with types and ranges. The stand-in sends them all.

--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -27,6 +27,8 @@
 MAX_CONNECTIONS = 40
 """Most connections to the upstream, which accepts 64 (``maxConnections``)."""
 T = TypeVar("T")
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A whole number that every JSON implementation represents exactly."""
 
 _START_REJECTIONS = {
     "fence": StartResult.FENCED,
@@ -60,22 +62,32 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int
-    memMb: int  # noqa: N815
-    gpus: int = 0
+    cpu: _Count
+    memMb: _Count  # noqa: N815
+    gpus: _Count
 
 
 class _Heartbeat(msgspec.Struct):
-    """Heartbeat of an upstream; ``sequence`` orders the heartbeats of one incarnation."""
+    """Heartbeat of an upstream; ``sequence`` orders the heartbeats of one incarnation.
+
+    All fields that the platform documents are declared, also those that the product doesn't use: a
+    heartbeat in which one is missing or mistyped comes from another writer.
+    """
 
     service: str
     address: str
     zone: str
+    version: str
+    slots: _Count
     state: str
-    sequence: int
+    coldRemainingMs: float  # noqa: N815
+    sequence: _Count
     capacity: _Capacity
-    born: int
-    labels: list[str] = []
+    born: _Count
+    labels: list[str]
+    clockMs: float = 0  # noqa: N815
+    machineId: str = ""  # noqa: N815
+    remainingMs: float = 0  # noqa: N815
 
 
 class _Answer(msgspec.Struct):
--- a/snipewell/standins/platformupstream.py
+++ b/snipewell/standins/platformupstream.py
@@ -144,11 +144,15 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
+                "version": "v1",
+                "slots": 8,
+                "coldRemainingMs": 0,
                 "state": "draining" if self.draining else "ready",
                 "sequence": self._sequence,
-                "capacity": {"cpu": self.cpu, "memMb": 1_000_000},
+                "capacity": {"cpu": self.cpu, "memMb": 1_000_000, "gpus": 0},
                 "born": self._born_wall_ms,
                 "labels": ["a"],
+                "clockMs": int(self._incarnation_clock_ms()),
             }
             path = f"/snipewell/instances/{self.name}/heartbeat"
             request = Request("POST", path, {}, {}, msgspec.json.encode(body))
--- /dev/null
+++ b/tests/oddmessages.py
@@ -0,0 +1,61 @@
+"""Messages that another writer sends to an agent or stores among the entries' registrations.
+
+They resemble those of an upstream or an entry, with something wrong: a field is missing or of
+another type, a state or service is unknown, or the bytes can't be read.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+WRONG_VALUES: Mapping[type, tuple[object, ...]] = {
+    str: (7, None, [], {}),
+    int: ("7", 1.5, None, [1], {}, True),
+    list: ("a", 7, None, [7], {"a": 1}),
+    dict: ("a", 7, None, []),
+}
+"""Values of other types, by the type of the right one."""
+
+
+def vary_fields(message: Mapping[str, Any], optional: frozenset[str]) -> Iterator[tuple[str, Any]]:
+    """Yield copies of ``message`` in which a field, also a nested one, is missing or mistyped.
+
+    Each has a label. ``optional`` holds the names of the fields that may be missing.
+    """
+    for name, value in message.items():
+        if name not in optional:
+            yield f"no {name}", {key: other for key, other in message.items() if key != name}
+        for wrong in WRONG_VALUES[type(value)]:
+            if not (isinstance(wrong, float) and name in FRACTIONAL_FIELDS):
+                yield f"{name} is {wrong!r}", {**message, name: wrong}
+        if isinstance(value, dict):
+            for label, varied in vary_fields(value, optional):
+                yield f"{name}: {label}", {**message, name: varied}
+
+
+FRACTIONAL_FIELDS = frozenset({"coldRemainingMs", "clockMs", "remainingMs"})
+"""Fields in milliseconds that may have a fraction."""
+OPTIONAL_FIELDS = frozenset({"clockMs", "machineId", "remainingMs"})
+"""Fields of a heartbeat that may be missing."""
+
+
+def odd_heartbeats(heartbeat: Mapping[str, Any]) -> list[tuple[str, bytes]]:
+    """Return the odd variants of ``heartbeat``, each with a label."""
+    encoded = msgspec.json.encode(heartbeat)
+    odd = [
+        ("unknown state", msgspec.json.encode({**heartbeat, "state": "resting"})),
+        ("unknown service", msgspec.json.encode({**heartbeat, "service": "no-such-service"})),
+        ("truncated", encoded[:-9]),
+        ("invalid UTF-8", encoded.replace(b"ready", b"re\xff\xfey")),
+        ("invalid escape", encoded.replace(b"ready", b"re\\x")),
+        ("empty", b""),
+        ("not an object", b"[]"),
+    ]
+    odd += [
+        (label, msgspec.json.encode(varied))
+        for label, varied in vary_fields(heartbeat, OPTIONAL_FIELDS)
+    ]
+    return odd
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -13,13 +13,15 @@
 from snipewell.client import fetch
 from snipewell.clock import SystemClock
 from snipewell.standins.metadata import StoreFaults
-from snipewell.standins.platformupstream import UpstreamFaults
+from snipewell.standins.platformupstream import StandInUpstream, UpstreamFaults
 from snipewell.web import Request
 
-from .jobfleet import Daemon, JobFleet, free_port
+from .jobfleet import SERVICE, Daemon, JobFleet, free_port
+from .oddmessages import odd_heartbeats
 
 LOAD_S = 6.0
 JOBS_PER_S = 6.0
+ODD_HEARTBEAT_INTERVAL_S = 0.05
 
 
 async def run_with_faults(fleet: JobFleet, faults: list[tuple[float, Callable[[], None]]]) -> None:
@@ -167,6 +169,43 @@
     assert {run.attempt for run in fleet.runs()} == {1}
 
 
+def test_odd_heartbeats_of_another_writer_end_no_run(tmp_path: Path) -> None:
+    """Guards against overlapping runs after heartbeats with fields missing or of other types.
+
+    They come under the ids of the upstreams and under others, with a later start time.
+    """
+    fleet = JobFleet(tmp_path, 7)
+    statuses: dict[str, int] = {}
+
+    async def write(agent: Daemon, upstream: StandInUpstream) -> None:
+        port = int(upstream.address.split(":")[1])
+        heartbeat = {**foreign_heartbeat(port), "service": SERVICE, "zone": upstream.zone}
+        for number, (label, body) in enumerate(odd_heartbeats(heartbeat)):
+            name = upstream.name if number % 2 else f"i-{number}"
+            statuses[f"{agent.name}: {label}"] = await send_heartbeat(agent, name, body)
+            await curio.sleep(ODD_HEARTBEAT_INTERVAL_S)
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            writers = [
+                await curio.spawn(write, agent, upstream)
+                for agent, upstream in zip(fleet.agents, fleet.upstreams, strict=True)
+            ]
+            await fleet.load(LOAD_S, JOBS_PER_S)
+            for writer in writers:
+                await writer.join()
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+    check_invariants(fleet)
+    assert [label for label, status in statuses.items() if status != 400] == []
+    assert {client.state for client in fleet.clients} == {"completed"}
+    assert {client.sent for client in fleet.clients} == {1}
+    assert {run.attempt for run in fleet.runs()} == {1}
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_graceful_shutdown_aborts_no_job(tmp_path: Path, role: str) -> None:
     """Guards against work lost on SIGTERM.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -67,6 +67,8 @@
 from snipewell.upstreamcall import CallHold, CallStart, StartResult, Upstream
 from snipewell.web import Request
 
+from .oddmessages import OPTIONAL_FIELDS, odd_heartbeats
+
 T = TypeVar("T")
 
 BOOT_SETTINGS = """\
@@ -115,11 +117,16 @@
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "pos-east",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "coldRemainingMs": 0,
     "sequence": 4,
     "capacity": {"cpu": 16000, "memMb": 32768, "gpus": 0},
     "labels": ["a", "r1-3"],
     "born": 1_700_000_000_000,
+    "clockMs": 482_113,
+    "machineId": "m-1e755",
 }
 
 JOB_ID = JobId("5c0e7a21d94b36f8")
@@ -269,16 +276,30 @@
     assert decode_heartbeat("i-1", encode({**HEARTBEAT, "state": "draining"}))[0].draining
 
 
-@pytest.mark.parametrize("field", ["service", "address", "zone", "state", "sequence", "born"])
-def test_a_heartbeat_with_a_missing_or_mistyped_field_is_rejected(field: str) -> None:
-    for value in ({k: v for k, v in HEARTBEAT.items() if k != field}, {**HEARTBEAT, field: [1]}):
-        with pytest.raises(RegistrationError):
-            decode_heartbeat("i-1", encode(value))
+ODD_HEARTBEATS = dict(odd_heartbeats(HEARTBEAT))
+
+
+@pytest.mark.parametrize("label", ODD_HEARTBEATS)
+def test_a_heartbeat_with_a_missing_or_wrong_field_is_rejected(label: str) -> None:
+    """Guards against runs that are given up for an upstream that doesn't exist, and run twice."""
+    expected = ExpectedUpstream(service="huvo11a")
+    with pytest.raises(RegistrationError):
+        decode_heartbeat("i-1", ODD_HEARTBEATS[label], expected)
+
+
+@pytest.mark.parametrize("field", sorted(OPTIONAL_FIELDS))
+def test_a_heartbeat_without_an_optional_field_is_accepted(field: str) -> None:
+    value = {name: value for name, value in HEARTBEAT.items() if name != field}
+    assert decode_heartbeat("i-1", encode(value))[1] == 4
 
 
-def test_a_heartbeat_with_an_unknown_state_is_rejected() -> None:
+@pytest.mark.parametrize("figure", [-1, 2**53 + 1, 2**70])
+@pytest.mark.parametrize("field", ["slots", "sequence", "born", "capacity"])
+def test_a_heartbeat_with_a_figure_out_of_range_is_rejected(field: str, figure: int) -> None:
+    """Guards against capacity that isn't there, and heartbeats that make all later ones stale."""
+    value: object = {"cpu": figure, "memMb": 1, "gpus": 0} if field == "capacity" else figure
     with pytest.raises(RegistrationError):
-        decode_heartbeat("i-1", encode({**HEARTBEAT, "state": "resting"}))
+        decode_heartbeat("i-1", encode({**HEARTBEAT, field: value}))
 
 
 @given(st.binary(max_size=200))
