Tests: give each fleet of processes a loopback address of its own

An earlier run of test_a_heartbeat_of_another_writer_ends_no_run failed once without logs.

Cause: the fleets of concurrent tests share 127.0.0.1, and a port that was free when it was chosen can be given to an outgoing connection before its daemon binds it.

Change: each fleet draws an address below 127.0.0.0/8. Outgoing connections keep their ports of 127.0.0.1.

--- a/snipewell/standins/platformupstream.py
+++ b/snipewell/standins/platformupstream.py
@@ -113,10 +113,16 @@
         """
         return self._clock.now_ms() - self._born_ms
 
-    async def run(self, agent_address: str, heartbeat_ms: float = 500.0, port: int = 0) -> None:
+    async def run(
+        self,
+        agent_address: str,
+        heartbeat_ms: float = 500.0,
+        port: int = 0,
+        host: str = "127.0.0.1",
+    ) -> None:
         """Serve calls and send heartbeats to the agent at ``agent_address`` until cancelled."""
         self._server = HttpServer(self._handle)
-        await self._server.start("127.0.0.1", port)
+        await self._server.start(host, port)
         heartbeats = await curio.spawn(
             self._send_heartbeats, agent_address, heartbeat_ms, daemon=True
         )
@@ -135,7 +141,8 @@
     def address(self) -> str:
         """Address that the heartbeats announce, while `run` is in progress."""
         assert self._server is not None
-        return self.advertised_address or f"127.0.0.1:{self._server.address[1]}"
+        host, port = self._server.address
+        return self.advertised_address or f"{host}:{port}"
 
     async def _send_heartbeats(self, agent_address: str, heartbeat_ms: float) -> None:
         while True:
--- a/tests/jobfleet.py
+++ b/tests/jobfleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 import signal
 import subprocess
 import sys
@@ -47,9 +48,18 @@
 }
 
 
-def free_port() -> int:
-    """Return a port that was free on the loopback address at the time of the call."""
-    with open_listener("127.0.0.1", 0) as listener:
+def draw_host() -> str:
+    """Return a random loopback address.
+
+    Outgoing connections have ports of 127.0.0.1, and concurrent fleets are on other addresses, so
+    nobody else takes a free port of this one before its daemon has bound it.
+    """
+    return f"127.{secrets.randbelow(250) + 1}.{secrets.randbelow(250) + 1}.1"
+
+
+def free_port(host: str) -> int:
+    """Return a port that was free on the address ``host`` at the time of the call."""
+    with open_listener(host, 0) as listener:
         port: int = listener.getsockname()[1]
         return port
 
@@ -124,6 +134,7 @@
         self.agents: list[Daemon] = []
         self.entries: list[Daemon] = []
         self.clients: list[Client] = []
+        self.host = draw_host()
         self._directory = directory
         self._counts = (entries, agents)
         self._tasks: list[curio.Task] = []
@@ -134,24 +145,26 @@
         self.store.put("op/config", msgspec.json.encode(CONFIGURATION))
         store = f"127.0.0.1:{server.address[1]}"
         for number in range(self._counts[1]):
-            address = f"127.0.0.1:{free_port()}"
+            address = f"{self.host}:{free_port(self.host)}"
             upstream = StandInUpstream(f"u{number}", f"z{number}", SERVICE, 8_000, self.rng)
             self.upstreams.append(upstream)
-            port = free_port()
+            port = free_port(self.host)
             self._configure_upstream(upstream, port)
-            self._tasks.append(await curio.spawn(upstream.run, address, 500.0, port, daemon=True))
+            self._tasks.append(
+                await curio.spawn(upstream.run, address, 500.0, port, self.host, daemon=True)
+            )
             extra_settings = [f"listenAddresses.controlPlane={address}"]
             if self.names_upstreams:
-                app = upstream.advertised_address or f"127.0.0.1:{port}"
+                app = upstream.advertised_address or f"{self.host}:{port}"
                 extra_settings += [f"app={app}", f"service={SERVICE}"]
             self.agents.append(
                 self._create_daemon("agent", f"agent-{number}", store, extra_settings, address)
             )
         for number in range(self._counts[0]):
-            address = f"127.0.0.1:{free_port()}"
+            address = f"{self.host}:{free_port(self.host)}"
             extra_settings = [
                 f"listenAddresses.frontend={address}",
-                f"listenAddresses.readiness=127.0.0.1:{free_port()}",
+                f"listenAddresses.readiness={self.host}:{free_port(self.host)}",
             ]
             self.entries.append(
                 self._create_daemon("entry", f"entry-{number}", store, extra_settings, address)
@@ -176,11 +189,11 @@
     def _create_daemon(
         self, role: str, name: str, store: str, extra_settings: list[str], address: str
     ) -> Daemon:
-        port = free_port()
+        port = free_port(self.host)
         text = [
             f"nodeName={name}",
             f"zone=z{name[-1]}",
-            "ip=127.0.0.1",
+            f"ip={self.host}",
             f"internalPortRange={port},{port}",
             f"platform.address={store}",
             "bounds.gracePeriodS=4",
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -82,7 +82,7 @@
         return daemon
 
     def _configure_upstream(self, upstream: StandInUpstream, port: int) -> None:
-        relay = self.relay(f"orders to {upstream.name}", f"127.0.0.1:{port}")
+        relay = self.relay(f"orders to {upstream.name}", f"{self.host}:{port}")
         upstream.advertised_address = relay.address
 
     async def _request(self, address: str, request: Request) -> Response:
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -121,11 +121,11 @@
     return (await fetch(agent.address, Request("POST", path, {}, headers, body), 1_000)).status
 
 
-def foreign_heartbeat(port: int) -> dict[str, object]:
+def foreign_heartbeat(address: str) -> dict[str, object]:
     """Return the heartbeat of an upstream of another service, which doesn't run here."""
     return {
         "service": "somebody-elses-service",
-        "address": f"127.0.0.1:{port}",
+        "address": address,
         "zone": "z9",
         "version": "v1",
         "slots": 8,
@@ -152,8 +152,10 @@
             await curio.sleep(0.6)
             for agent, upstream in zip(fleet.agents, fleet.upstreams, strict=True):
                 # Without the settings, only a call to the address shows that it is another one.
-                port = free_port() if names_upstreams else int(upstream.address.split(":")[1])
-                body = msgspec.json.encode(foreign_heartbeat(port))
+                address = f"{fleet.host}:{free_port(fleet.host)}"
+                if not names_upstreams:
+                    address = upstream.address
+                body = msgspec.json.encode(foreign_heartbeat(address))
                 status = await send_heartbeat(agent, "i-other", body)
                 assert status == (400 if names_upstreams else 200)
             for job in jobs:
@@ -178,8 +180,11 @@
     statuses: dict[str, int] = {}
 
     async def write(agent: Daemon, upstream: StandInUpstream) -> None:
-        port = int(upstream.address.split(":")[1])
-        heartbeat = {**foreign_heartbeat(port), "service": SERVICE, "zone": upstream.zone}
+        heartbeat = {
+            **foreign_heartbeat(upstream.address),
+            "service": SERVICE,
+            "zone": upstream.zone,
+        }
         for number, (label, body) in enumerate(odd_heartbeats(heartbeat)):
             name = upstream.name if number % 2 else f"i-{number}"
             statuses[f"{agent.name}: {label}"] = await send_heartbeat(agent, name, body)
