Treat values that are nested too deeply as malformed everywhere

Cause: msgspec raises RecursionError for such a value, which isn't among the errors that the callers of the decoders expect.

Change: one module decodes all JSON and MessagePack from other processes and raises MessageError for whatever is malformed. The same cause was in the decoders of heartbeats, jobs, catalogs, answers, frames, and of the parts, voters and partition tables of the submission path.

Numbers that are too large were rejected before as well.

--- a/snipewell/agentd.py
+++ b/snipewell/agentd.py
@@ -14,6 +14,8 @@
 from .agent import Agent, AgentAction, AgentInfo, AgentLimits, Reconnect
 from .client import ExchangeError, HttpPool, NotSentError, fetch
 from .clock import SystemClock
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import (
     AgentId,
     EntryId,
@@ -177,7 +179,7 @@
         while True:
             try:
                 await self._refresh()
-            except (SnipewellError, msgspec.MsgspecError) as error:
+            except (SnipewellError, MessageError) as error:
                 # The balancer may be unavailable for long; the known entries stay in use.
                 self._log.debug("agent", "cannot fetch the list of entries", reason=str(error))
             await curio.sleep(self.settings.entries_interval_ms / 1000)
@@ -188,7 +190,7 @@
         )
         if response.status != 200:
             return
-        listing = msgspec.json.decode(response.body, type=_Listing)
+        listing = decode_json(response.body, _Listing)
         listed = {item.entry: item.message_address for item in listing.entries}
         for entry, address in listed.items():
             try:
--- a/snipewell/api.py
+++ b/snipewell/api.py
@@ -19,6 +19,8 @@
 import msgspec
 
 from .clock import Clock
+from .decoding import decode_json
+from .errors import MessageError
 from .message import Resources
 from .operate import ApiError, Operator
 from .outcome import (
@@ -149,7 +151,7 @@
         )
         if result.response.status != 200:
             raise ApiError.from_response(result.response, self._retrying_client.address)
-        return list(msgspec.json.decode(result.response.body, type=_Keys).keys)
+        return list(decode_json(result.response.body, _Keys).keys)
 
     async def close(self) -> None:
         """Close the pooled connections."""
@@ -211,9 +213,9 @@
     if kind == "complete" and not job:
         return Complete([response.body])
     try:
-        body = msgspec.json.decode(response.body, type=_Body)
+        body = decode_json(response.body, _Body)
         step = Step(body.step)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+    except (MessageError, ValueError):
         return Unknown(Step.EDGE, peer, f"answered with {response.status} and an unknown body")
     match kind:
         case "complete":
--- a/snipewell/change.py
+++ b/snipewell/change.py
@@ -94,7 +94,7 @@
 
     ``values`` holds the revision and value of each key in the store. If this entry has the same or
     a later revision applied, its content is used, because the store may have been rolled back.
-    Raises msgspec.MsgspecError if a value that is needed is unreadable.
+    Raises MessageError if a value that is needed is unreadable.
     """
     parts: dict[int, StoredPart] = {}
     for number, content in configuration.parts(kind).items():
--- a/snipewell/configuration.py
+++ b/snipewell/configuration.py
@@ -5,9 +5,9 @@
 from collections.abc import Mapping
 from typing import cast
 
-import msgspec
-
+from .decoding import decode_json
 from .effect import Effect, LogRecord
+from .errors import MessageError
 from .group import (
     CONFIG_PREFIX,
     VOTERS_KEY,
@@ -180,7 +180,7 @@
         kind, part = location
         try:
             content = decode_part(value)
-        except msgspec.MsgspecError as error:
+        except MessageError as error:
             self._log("ALARM a stored value is unreadable; the last one stays", key=key, why=error)
             return
         current = self._parts[kind].get(part)
@@ -208,8 +208,8 @@
         If the store lost the value or has an older set, the last set stays applied.
         """
         try:
-            voters = msgspec.json.decode(value, type=VoterSet) if value else VoterSet()
-        except msgspec.MsgspecError as error:
+            voters = decode_json(value, VoterSet) if value else VoterSet()
+        except MessageError as error:
             self._log("ALARM the voters are unreadable; the last ones stay", why=error)
             return
         if voters.version <= self._voters.version:
@@ -224,8 +224,8 @@
         specs: dict[str, Spec] = {}
         for name, item in active_items(self._parts[kind]).items():
             try:
-                specs[name] = msgspec.json.decode(item.spec, type=SPEC_TYPES[kind])
-            except msgspec.MsgspecError as error:
+                specs[name] = decode_json(item.spec, SPEC_TYPES[kind])
+            except MessageError as error:
                 self._log(
                     "ALARM a resource is unreadable; the last one stays", name=name, why=error
                 )
--- a/snipewell/directory.py
+++ b/snipewell/directory.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from .decoding import decode_json
+from .errors import MessageError
 from .store import Changes, Listing
 
 JOB_ENTRIES_PREFIX = "snipewell/entries/"
@@ -71,8 +73,8 @@
 
     def _add(self, key: str, value: bytes) -> bool:
         try:
-            address = msgspec.json.decode(value, type=EntryAddress)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            address = decode_json(value, EntryAddress)
+        except MessageError:
             self.unreadable.append(key)
             return False
         self._registrations[key] = _Registration(address)
--- a/snipewell/group.py
+++ b/snipewell/group.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from .decoding import decode_with
 from .ids import EntryId, Revision
 from .resource import Kind
 
@@ -94,9 +95,9 @@
 def decode_part(value: bytes) -> PartContent:
     """Decode the content of a part; an empty ``value`` gives an empty content.
 
-    Raises msgspec.MsgspecError if the value is not the content of a part.
+    Raises MessageError if the value is not the content of a part.
     """
-    return _decoder.decode(value) if value else PartContent()
+    return decode_with(lambda: _decoder.decode(value)) if value else PartContent()
 
 
 def part_of(name: str, parts: Mapping[int, PartContent]) -> int:
--- a/snipewell/message.py
+++ b/snipewell/message.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from .decoding import decode_with
 from .errors import MessageError
 from .ids import (
     AgentId,
@@ -530,7 +531,4 @@
     """Decode a message; raise MessageError if it is malformed or of another protocol version."""
     if not data or data[0] != PROTOCOL_VERSION:
         raise MessageError(f"expected protocol version {PROTOCOL_VERSION}, got {data[:1]!r}")
-    try:
-        return _decoder.decode(memoryview(data)[1:])
-    except msgspec.MsgspecError as error:
-        raise MessageError(str(error)) from error
+    return decode_with(lambda: _decoder.decode(memoryview(data)[1:]))
--- a/snipewell/partition.py
+++ b/snipewell/partition.py
@@ -13,6 +13,8 @@
 import msgspec
 import xxhash
 
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import EntryId, Epoch, Partition, ZoneId
 from .limits import read_quorum
 
@@ -49,8 +51,8 @@
     def from_json(cls, value: bytes, version: int) -> PartitionTable:
         """Decode a stored table; raise ValueError if it is malformed or inconsistent."""
         try:
-            partitions = msgspec.json.decode(value, type=tuple[PartitionAssignment, ...])
-        except msgspec.MsgspecError as error:
+            partitions = decode_json(value, tuple[PartitionAssignment, ...])
+        except MessageError as error:
             raise ValueError(f"partition table: {error}") from error
         for number, assigned in enumerate(partitions):
             if assigned.leader not in assigned.replicas or len(set(assigned.replicas)) < len(
--- a/snipewell/platform/configuration.py
+++ b/snipewell/platform/configuration.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from ..desiredstate import CatalogError, OperatorKeys
+from ..errors import MessageError
 from ..ids import Revision, ServiceName
 from ..job import Catalog, Queue, QueueName
 
@@ -48,8 +50,8 @@
     Raise CatalogError if ``value`` is malformed.
     """
     try:
-        configuration = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        configuration = decode_json(value, _Configuration)
+    except MessageError as error:
         raise CatalogError(str(error)) from error
     queues = tuple(_decode_queue(route) for route in configuration.routes)
     limits = configuration.limits
--- a/snipewell/platform/jobs.py
+++ b/snipewell/platform/jobs.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..job import (
     JobEnded,
     JobId,
@@ -78,8 +80,8 @@
 def decode_job(job: JobId, body: bytes) -> JobSpec:
     """Decode and validate the job submitted as ``body``; raise JobFormatError if it's malformed."""
     try:
-        decoded = msgspec.json.decode(body, type=_Job)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = decode_json(body, _Job)
+    except MessageError as error:
         raise JobFormatError(str(error)) from error
     if len(decoded.specification.encode()) > _MAX_SPECIFICATION_BYTES:
         raise JobFormatError(f"specification: expected at most {_MAX_SPECIFICATION_BYTES} bytes")
--- a/snipewell/platform/store.py
+++ b/snipewell/platform/store.py
@@ -11,6 +11,8 @@
 from ..client import ExchangeError, HttpPool, NotSentError
 from ..clock import Clock
 from ..daemon import KEEPALIVE_TIMEOUT_MS
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..ids import Revision
 from ..store import Change, Changes, Listing, StoreUnreachableError, Value
 from ..web import Request, Response
@@ -151,8 +153,8 @@
 
     def _decode(self, response: Response, kind: type[T]) -> T:
         try:
-            return msgspec.json.decode(response.body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, kind)
+        except MessageError as error:
             raise StoreUnreachableError(self._address, f"malformed response: {error}") from None
 
     def _value(self, item: _Item) -> bytes:
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from ..client import ExchangeError, HttpPool, NotSentError
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..ids import UpstreamId
 from ..job import ResourceVector, RunEnd
 from ..upstreamcall import (
@@ -117,8 +119,8 @@
     service or address aren't the ``expected`` ones.
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        heartbeat = decode_json(body, _Heartbeat)
+    except MessageError as error:
         raise RegistrationError(str(error)) from error
     if heartbeat.state not in ("ready", "draining"):
         raise RegistrationError(f"state: expected ready or draining, got {heartbeat.state[:40]!r}")
@@ -276,8 +278,8 @@
 
 def _decode(response: Response, kind: type[T]) -> T | None:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_json(response.body, kind)
+    except MessageError:
         return None
 
 
--- a/snipewell/resourceapi.py
+++ b/snipewell/resourceapi.py
@@ -19,6 +19,7 @@
 from .change import ChangeResult, ChangeState, ResourceChange, WritePlan, collect_parts
 from .clock import Clock
 from .configuration import Configuration
+from .errors import MessageError
 from .group import StoredResource, encode_part, part_key, part_of
 from .ids import Revision
 from .outcome import Invalid, SnipewellError
@@ -350,7 +351,7 @@
         values = {key: (int(v.revision), v.value) for key, v in listing.values.items()}
         try:
             parts = collect_parts(kind, values, self._configuration)
-        except msgspec.MsgspecError as error:
+        except MessageError as error:
             raise StoreError("store", f"{kind.value}: unreadable value: {error}") from None
         plan = WritePlan(kind, parts, listing.revision)
         for pending in batch:
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from .channel import Frame
-from .errors import MessageError
+from .decoding import decode_with
 from .job import ResourceVector
 
 NO_CAPACITY = "no room"
@@ -173,15 +173,9 @@
 
 def decode_agent_frame(data: bytes) -> AgentFrame:
     """Decode a frame from an agent; raise MessageError if it is malformed."""
-    try:
-        return _agent_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MessageError(str(error)) from error
+    return decode_with(lambda: _agent_decoder.decode(data))
 
 
 def decode_entry_frame(data: bytes) -> EntryFrame:
     """Decode a frame from an entry; raise MessageError if it is malformed."""
-    try:
-        return _entry_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MessageError(str(error)) from error
+    return decode_with(lambda: _entry_decoder.decode(data))
--- a/snipewell/store.py
+++ b/snipewell/store.py
@@ -20,6 +20,8 @@
 from . import keyvalue
 from .client import ExchangeError, NotSentError
 from .clock import Clock
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import Revision
 from .message import Snapshot
 from .outcome import SnipewellError, Step
@@ -277,8 +279,8 @@
 
     def _decode(self, response: Response, kind: type[T]) -> T:
         try:
-            return msgspec.json.decode(response.body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, kind)
+        except MessageError as error:
             raise StoreUnreachableError(self._address, f"malformed answer: {error}") from None
 
 
--- a/snipewell/storesync.py
+++ b/snipewell/storesync.py
@@ -8,8 +8,10 @@
 import curio
 import msgspec
 
+from .decoding import decode_json
 from .effect import ProposeTable, ProposeVoters
 from .entry import ENTRIES_PREFIX, TABLE_KEY, Entry
+from .errors import MessageError
 from .group import CONFIG_PREFIX
 from .ids import EntryId, Revision
 from .log import Log
@@ -137,10 +139,10 @@
             elif key.startswith(ENTRIES_PREFIX):
                 entry = EntryId(key.removeprefix(ENTRIES_PREFIX))
                 if value:
-                    self._entries[entry] = msgspec.json.decode(value, type=EntryRecord)
+                    self._entries[entry] = decode_json(value, EntryRecord)
                 else:
                     self._entries.pop(entry, None)
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, MessageError) as error:
             self._log.error("store", "unreadable value skipped", key=key, why=str(error))
 
     async def _register(self) -> None:
--- a/snipewell/voterapi.py
+++ b/snipewell/voterapi.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from .configuration import Configuration
+from .decoding import decode_json
 from .effect import ProposeVoters
+from .errors import MessageError
 from .group import VOTERS_KEY, VoterSet
 from .ids import EntryId
 from .outcome import Invalid, SnipewellError
@@ -31,8 +33,8 @@
         stored = await store.get(VOTERS_KEY)
         value = stored.value if stored is not None else b""
         try:
-            stored_set = msgspec.json.decode(value, type=VoterSet) if value else VoterSet()
-        except msgspec.MsgspecError as error:
+            stored_set = decode_json(value, VoterSet) if value else VoterSet()
+        except MessageError as error:
             raise StoreError("store", f"unreadable voters: {error}") from None
         if stored_set == proposal.current:
             revision = stored.revision if stored is not None else 0
--- a/tests/oddmessages.py
+++ b/tests/oddmessages.py
@@ -42,6 +42,34 @@
 """Fields of a heartbeat that may be missing."""
 
 
+NESTING = 100_000
+"""Depth beyond what any decoder supports."""
+NESTED = b"[" * NESTING + b"]" * NESTING
+HUGE_NUMBERS = (b"1" + b"0" * 5_000, b"1e400", b"-1e400")
+
+
+def odd_registrations(registration: Mapping[str, Any]) -> list[tuple[str, bytes]]:
+    """Return odd variants of an entry's ``registration``, each with a label."""
+    encoded = msgspec.json.encode(registration)
+    odd = [
+        ("deeply nested", NESTED),
+        ("deeply nested field", encoded[:-1] + b',"more":' + NESTED + b"}"),
+        ("not an object", b"[]"),
+        ("truncated", encoded[:-9]),
+        ("empty", b""),
+        ("invalid UTF-8", encoded.replace(b'"entry"', b'"ent\xff"')),
+    ]
+    for number in HUGE_NUMBERS:
+        label = number[:8].decode()
+        odd.append((f"entry is {label}", b'{"entry":' + number + b"}"))
+        odd.append((f"more is {label}", encoded[:-1] + b',"zone":' + number + b"}"))
+    odd += [
+        (label, msgspec.json.encode(varied))
+        for label, varied in vary_fields(registration, frozenset({"zone"}))
+    ]
+    return odd
+
+
 def odd_heartbeats(heartbeat: Mapping[str, Any]) -> list[tuple[str, bytes]]:
     """Return the odd variants of ``heartbeat``, each with a label."""
     encoded = msgspec.json.encode(heartbeat)
