Check addresses where they are read, not where they are connected to

An entry whose registration had such an address for a moment would not be connected to again under its name.

Cause: a port above 65535 and a host with a null character raise errors that a failed connection doesn't, and nothing checked addresses before. A host name is looked up, which blocks the process.

Change: split_address has a module of its own and is used for registrations, heartbeats, settings and connections. A registration with another address is logged as malformed and names no entry.

Evidence: test_agents_follow_the_entries_beside_odd_registrations, which has these addresses now, failed on by the tracebacks.

Result: it passes, as does tests/test_address.py.

--- a/snipewell/cli.py
+++ b/snipewell/cli.py
@@ -422,7 +422,7 @@
 
 
 def _split_addresses(addresses: str) -> list[str]:
-    from .settings import split_address
+    from .address import split_address
 
     found = [address.strip() for address in addresses.split(",") if address.strip()]
     try:
--- a/snipewell/client.py
+++ b/snipewell/client.py
@@ -49,13 +49,15 @@
 
     @classmethod
     async def open(cls, address: str, keepalive_timeout_ms: float = 0) -> _Connection:
-        """Connect to ``address`` (``ip:port``); raise OSError or ValueError.
+        """Connect to ``address`` (``host:port``); raise OSError or ValueError.
 
         If ``keepalive_timeout_ms`` is positive, the kernel drops the connection when the peer
         has not acknowledged keep-alive probes for that long.
         """
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
+        if "\0" in host or not 0 < int(port) < 65_536:
+            raise ValueError(f"expected host:port, got {address[:60]!r}")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         raw = socket.socket(family, socket.SOCK_STREAM)
         sock = curio.io.Socket(raw)
--- a/snipewell/command.py
+++ b/snipewell/command.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .address import split_address
 from .api import Client, NoRecord, Operator, Running
 from .cli import FAILED, OK, UNKNOWN, USAGE, exit_status
 from .manifest import Difference, ManifestError, compare, load_json, read_manifest
@@ -15,7 +16,6 @@
 from .operate import WriteResponse
 from .outcome import Complete, Outcome
 from .resource import Kind, SpecError, split_error
-from .settings import split_address
 from .texttable import format_documents, format_status, format_table, format_writes
 
 
--- a/snipewell/directory.py
+++ b/snipewell/directory.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from .address import split_address
 from .decoding import decode_json
 from .errors import MessageError
 from .store import Changes, Listing
@@ -74,7 +75,8 @@
     def _add(self, key: str, value: bytes) -> bool:
         try:
             address = decode_json(value, EntryAddress)
-        except MessageError:
+            split_address(address.address)
+        except (MessageError, ValueError):
             self.unreadable.append(key)
             return False
         self._registrations[key] = _Registration(address)
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from .address import split_address
 from .agentsession import SendAgent
 from .clock import Clock
 from .daemon import (
@@ -213,7 +214,7 @@
         settings = self._settings
         incarnation = new_incarnation()
         self._agents = StreamServer(
-            open_listener(*_split_address(settings.agent_address)),
+            open_listener(*split_address(settings.agent_address)),
             ENTRY_CODEC,
             self._on_frame,
             self._on_connection_end,
@@ -251,7 +252,7 @@
         await self._agents.start()
         await self._wait_for_catalog()
         await clients.serve(listener)
-        await readiness.start(*_split_address(settings.readiness_address))
+        await readiness.start(*split_address(settings.readiness_address))
         host = listener.getsockname()[0]
         await serve_metrics(self.metrics, host, settings.metrics_port, self._log)
         self._log.info("entry", "start", zone=settings.zone, incarnation=incarnation)
@@ -289,8 +290,3 @@
 
     def _on_error(self, where: str, error: BaseException) -> None:
         self._log.error("entry", "handler failed", where=where, error=repr(error))
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 
+from ..address import split_address
 from ..errors import SettingsError
 from ..listener import open_listener
 from ..selector import LazySelector
@@ -115,12 +116,11 @@
 
 
 def _listen(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(
-            "settings", None, "listenAddresses", f"expected ip:port, got {address!r}"
-        )
-    return open_listener(host, int(port))
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise SettingsError("settings", None, "listenAddresses", str(error)) from None
+    return open_listener(host, port)
 
 
 main()
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..address import split_address
 from ..client import ExchangeError, HttpPool, NotSentError
 from ..decoding import decode_json
 from ..errors import MessageError
@@ -124,8 +125,12 @@
         raise RegistrationError(str(error)) from error
     if heartbeat.state not in ("ready", "draining"):
         raise RegistrationError(f"state: expected ready or draining, got {heartbeat.state[:40]!r}")
-    if not heartbeat.address or not heartbeat.service:
-        raise RegistrationError("expected an address and a service")
+    if not heartbeat.service:
+        raise RegistrationError("expected a service")
+    try:
+        split_address(heartbeat.address)
+    except ValueError as error:
+        raise RegistrationError(f"address: {error}") from None
     if expected is not None and expected.service not in ("", heartbeat.service):
         raise RegistrationError(
             f"service: expected {expected.service}, got {heartbeat.service[:40]!r}"
--- a/snipewell/settings.py
+++ b/snipewell/settings.py
@@ -16,6 +16,7 @@
 import msgspec
 import pyjson5
 
+from .address import split_address
 from .errors import SettingsError
 from .message import Resources
 from .resource import Name
@@ -280,15 +281,6 @@
     return token
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``; raise ValueError if ``address`` is malformed."""
-    host, colon, port = address.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"expected ip:port, got {address!r}")
-    ipaddress.ip_address(host)
-    return host, int(port)
-
-
 def _require(condition: bool, message: str) -> None:
     if not condition:
         raise ValueError(message)
--- a/snipewell/standins/balancer.py
+++ b/snipewell/standins/balancer.py
@@ -8,9 +8,10 @@
 import curio
 from curio import socket
 
+from ..address import split_address
 from ..client import HttpPool
 from ..outcome import SnipewellError
-from ..settings import BalancerSettings, split_address
+from ..settings import BalancerSettings
 from ..signals import SignalQueue
 from ..web import Request
 
--- a/snipewell/stream.py
+++ b/snipewell/stream.py
@@ -22,6 +22,7 @@
 import curio
 import curio.io
 
+from .address import split_address
 from .errors import MessageError
 from .keepalive import enable_keepalive
 from .reading import read_when_ready
@@ -343,8 +344,7 @@
         A peer under another name with the same address is disconnected, because it must be gone.
         Raise ValueError for a malformed address.
         """
-        host, _, port = address.rpartition(":")
-        target = (host, int(port))
+        target = split_address(address)
         if self._addresses.get(peer) == address:
             return
         for other in [other for other, used in self._addresses.items() if used == address]:
--- a/tests/oddmessages.py
+++ b/tests/oddmessages.py
@@ -70,6 +70,27 @@
     return odd
 
 
+def odd_addresses() -> list[str]:
+    """Return addresses to which no connection can be opened."""
+    return [
+        "",
+        "127.0.0.1",
+        "127.0.0.1:",
+        ":80",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:1" + "0" * 5_000,
+        "127.0.0.1:\u0663\u0663",
+        "127.0.0.1\x00:80",
+        "no-such-host:80",
+        "x" * 300 + ":80",
+        "a..b:80",
+        "256.0.0.1:80",
+    ]
+
+
 def odd_heartbeats(heartbeat: Mapping[str, Any]) -> list[tuple[str, bytes]]:
     """Return the odd variants of ``heartbeat``, each with a label."""
     encoded = msgspec.json.encode(heartbeat)
--- a/tests/test_odd_registrations.py
+++ b/tests/test_odd_registrations.py
@@ -6,11 +6,12 @@
 from pathlib import Path
 
 import curio
+import msgspec
 
 from snipewell.directory import JOB_ENTRIES_PREFIX
 
 from .jobfleet import JobFleet, free_port
-from .oddmessages import odd_registrations
+from .oddmessages import odd_addresses, odd_registrations
 from .test_job_path_processes import JOBS_PER_S, LOAD_S, check_invariants
 
 REGISTRATION = {"entry": "odd", "address": "127.0.0.1:9", "incarnation": "i", "zone": "z0"}
@@ -19,8 +20,12 @@
 
 
 def odd_entries() -> list[bytes]:
-    """Return values of odd registrations."""
-    return [value for _, value in odd_registrations(REGISTRATION)]
+    """Return values of odd registrations, those with odd addresses included."""
+    values = [value for _, value in odd_registrations(REGISTRATION)]
+    return values + [
+        msgspec.json.encode({**REGISTRATION, "entry": f"at-{number}", "address": address})
+        for number, address in enumerate(odd_addresses())
+    ]
 
 
 def test_agents_follow_the_entries_beside_odd_registrations(tmp_path: Path) -> None:
