Soak: silent stores and other writers as faults

A run of the soak has three more faults: a store that answers nothing, odd heartbeats to an agent, or odd registrations of entries. They are drawn from a generator of their own, so the seeds that failed once keep their faults.

--- a/tests/jobfleet.py
+++ b/tests/jobfleet.py
@@ -106,6 +106,31 @@
             self.process.wait(EXIT_TIMEOUT_S)
 
 
+async def send_heartbeat(agent: Daemon, upstream: str, body: bytes) -> int:
+    """Send a heartbeat as another writer would; return the response status."""
+    path = f"/snipewell/instances/{upstream}/heartbeat"
+    headers = {"content-type": "application/json"}
+    return (await fetch(agent.address, Request("POST", path, {}, headers, body), 1_000)).status
+
+
+def foreign_heartbeat(address: str) -> dict[str, object]:
+    """Return the heartbeat of an upstream of another service, which doesn't run here."""
+    return {
+        "service": "somebody-elses-service",
+        "address": address,
+        "zone": "z9",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "capacity": {"cpu": 16_000, "memMb": 32_768, "gpus": 0},
+        "labels": ["a"],
+        "clockMs": 1_000,
+        "sequence": 1,
+        "born": SystemClock().wall_ms(),
+    }
+
+
 @dataclass
 class Client:
     """The client of one job: the response statuses in order, and the times of begin and end."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,17 +8,26 @@
 import curio
 import msgspec
 
-from snipewell.client import HttpPool
+from snipewell.client import ExchangeError, HttpPool, NotSentError
 from snipewell.directory import JOB_ENTRIES_PREFIX, EntryAddress
 from snipewell.standins.metadata import MetadataStore
 from snipewell.standins.platformupstream import StandInUpstream
 from snipewell.web import Request, Response
 
-from ..jobfleet import CLIENT_TIMEOUT_MS, Daemon, JobFleet
+from ..jobfleet import (
+    CLIENT_TIMEOUT_MS,
+    SERVICE,
+    Daemon,
+    JobFleet,
+    foreign_heartbeat,
+    send_heartbeat,
+)
+from ..oddmessages import odd_heartbeats, odd_registrations
 from .relay import Relay
 
 CONNECTIONS_PER_ENTRY = 64
 _POLL_S = 0.01
+_ODD_HEARTBEAT_INTERVAL_S = 0.05
 
 
 class _RelayedStore(MetadataStore):
@@ -38,6 +47,10 @@
             value = msgspec.json.encode(msgspec.structs.replace(entry, address=relay.address))
         return super().put(key, value, lease)
 
+    def put_unchanged(self, key: str, value: bytes) -> None:
+        """Write ``key`` without the address of a relay."""
+        super().put(key, value)
+
 
 class SoakFleet(JobFleet):
     """A fleet with relays on all links, whose clients keep connections until the process exits.
@@ -51,6 +64,8 @@
         super().__init__(directory, seed, entries, agents)
         self.relays: dict[str, Relay] = {}
         self.store = _RelayedStore(Random(seed + 1), self)
+        self.odd_heartbeats_to: set[str] = set()
+        """Names of the agents to which another writer sends odd heartbeats."""
         self._unstarted_relays: list[Relay] = []
         self._pools: dict[str, HttpPool] = {}
 
@@ -65,6 +80,32 @@
     async def start(self) -> None:
         self._tasks.append(await curio.spawn(self._run_relays, daemon=True))
         await super().start()
+        for agent, upstream in zip(self.agents, self.upstreams, strict=True):
+            writer = await curio.spawn(self._write_odd_heartbeats, agent, upstream, daemon=True)
+            self._tasks.append(writer)
+
+    def put_odd_registrations(self) -> None:
+        """Write odd registrations beside those of the entries, as another writer would."""
+        registration = {"entry": "odd", "address": "127.0.0.1:9", "incarnation": "i", "zone": "z"}
+        for number, (_, value) in enumerate(odd_registrations(registration)):
+            self.store.put_unchanged(f"{JOB_ENTRIES_PREFIX}odd-{number}", value)
+
+    async def _write_odd_heartbeats(self, agent: Daemon, upstream: StandInUpstream) -> None:
+        """Send odd heartbeats, under the upstream's id and others, while the fault is in force."""
+        number = 0
+        while True:
+            await curio.sleep(_ODD_HEARTBEAT_INTERVAL_S)
+            if agent.name not in self.odd_heartbeats_to:
+                continue
+            heartbeat = {**foreign_heartbeat(upstream.address), "service": SERVICE}
+            odd = odd_heartbeats(heartbeat)
+            number += 1
+            name = upstream.name if number % 2 else f"i-{number}"
+            try:
+                await send_heartbeat(agent, name, odd[number % len(odd)][1])
+            except (NotSentError, ExchangeError):
+                # The agent is paused or down.
+                continue
 
     async def _run_relays(self) -> None:
         while True:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -10,10 +10,12 @@
 import curio
 
 from .fleet import SoakFleet
-from .schedule import Fault, draw_fault
+from .schedule import Fault, draw_fault, draw_silence_or_writer
 
 CHECK_S = 0.25
 """Interval between checks for overlapping runs."""
+MORE_FAULTS = 3
+"""Number of silences of the store and of other writers, beside the faults that are asked for."""
 RECOVERY_S = 3.0
 """Time after the last fault in which restarted processes recover."""
 DRAIN_S = 2.0
@@ -59,9 +61,14 @@
         await fleet.start()
         started_ms = fleet.clock.now_ms()
         watcher = await curio.spawn(_watch_for_overlaps, fleet, result, started_ms, daemon=True)
-        for at_s in sorted(rng.uniform(0.0, seconds) for _ in range(faults)):
-            fault = draw_fault(fleet, rng, at_s)
-            result.faults.append(fault)
+        times_s = sorted(rng.uniform(0.0, seconds) for _ in range(faults))
+        result.faults += [draw_fault(fleet, rng, at_s) for at_s in times_s]
+        more_rng = Random(f"silences and writers of {seed}")
+        result.faults += [
+            draw_silence_or_writer(fleet, more_rng, more_rng.uniform(0.0, seconds))
+            for _ in range(MORE_FAULTS)
+        ]
+        for fault in result.faults:
             await fleet.after(fault.at_s, fault.begin)
             await fleet.after(fault.at_s + fault.duration_s, fault.end)
         last_s = max((fault.at_s + fault.duration_s for fault in result.faults), default=0.0)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -99,7 +99,7 @@
 
 
 def _store_fault(fleet: SoakFleet, rng: Random) -> tuple[str, Action, Action]:
-    match rng.choice(["down", "silent", "slow", "lost", "forgets", "revokes"]):
+    match rng.choice(["down", "slow", "lost", "forgets", "revokes"]):
         case "forgets":
             return "the store compacts its history", fleet.store.compact_history, _no_action
         case "revokes":
@@ -111,7 +111,6 @@
         case name:
             faults = {
                 "down": StoreFaults(down=True),
-                "silent": StoreFaults(silent=True),
                 "slow": StoreFaults(slow_ms=300.0),
                 "lost": StoreFaults(lost=0.5),
             }[name]
@@ -170,3 +169,32 @@
             drawn = _kill_all_fault(fleet)
     text, begin, end = drawn
     return Fault(text, at_s, duration_s, begin, end)
+
+
+def draw_silence_or_writer(fleet: SoakFleet, rng: Random, at_s: float) -> Fault:
+    """Return a silent store, or another writer in the agents' or the entries' registrations.
+
+    These are drawn apart, so that the seeds that failed once keep their other faults.
+    """
+    duration_s = rng.uniform(0.2, 5.0)
+    match rng.choice(["silent", "heartbeats", "heartbeats", "registrations"]):
+        case "silent":
+            return Fault(
+                "the store is silent",
+                at_s,
+                duration_s,
+                lambda: setattr(fleet.store, "faults", StoreFaults(silent=True)),
+                lambda: setattr(fleet.store, "faults", StoreFaults()),
+            )
+        case "registrations":
+            text = "odd registrations of entries"
+            return Fault(text, at_s, 0.0, fleet.put_odd_registrations, _no_action)
+        case _:
+            name = rng.choice(fleet.agents).name
+            return Fault(
+                f"odd heartbeats to {name}",
+                at_s,
+                duration_s,
+                lambda: fleet.odd_heartbeats_to.add(name),
+                lambda: fleet.odd_heartbeats_to.discard(name),
+            )
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -10,13 +10,17 @@
 import msgspec
 import pytest
 
-from snipewell.client import fetch
-from snipewell.clock import SystemClock
 from snipewell.standins.metadata import StoreFaults
 from snipewell.standins.platformupstream import StandInUpstream, UpstreamFaults
-from snipewell.web import Request
 
-from .jobfleet import SERVICE, Daemon, JobFleet, free_port
+from .jobfleet import (
+    SERVICE,
+    Daemon,
+    JobFleet,
+    foreign_heartbeat,
+    free_port,
+    send_heartbeat,
+)
 from .oddmessages import odd_heartbeats
 
 LOAD_S = 6.0
@@ -114,31 +118,6 @@
     check_invariants(fleet)
 
 
-async def send_heartbeat(agent: Daemon, upstream: str, body: bytes) -> int:
-    """Send a heartbeat as another writer would; return the response status."""
-    path = f"/snipewell/instances/{upstream}/heartbeat"
-    headers = {"content-type": "application/json"}
-    return (await fetch(agent.address, Request("POST", path, {}, headers, body), 1_000)).status
-
-
-def foreign_heartbeat(address: str) -> dict[str, object]:
-    """Return the heartbeat of an upstream of another service, which doesn't run here."""
-    return {
-        "service": "somebody-elses-service",
-        "address": address,
-        "zone": "z9",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "capacity": {"cpu": 16_000, "memMb": 32_768, "gpus": 0},
-        "labels": ["a"],
-        "clockMs": 1_000,
-        "sequence": 1,
-        "born": SystemClock().wall_ms(),
-    }
-
-
 @pytest.mark.parametrize("names_upstreams", [True, False])
 def test_a_heartbeat_of_another_writer_ends_no_run(tmp_path: Path, names_upstreams: bool) -> None:
     """Guards against overlapping runs after a registration of an upstream elsewhere (review/2)."""
