Cut the estimates of jobs, so that arithmetic with them stays finite

Cause: the job's objective, a product of the estimate, is infinite, and round() of it raises OverflowError in the task that owns the state of the entry.

Amounts of resources above 2^53, which messages can't carry, are malformed.

Evidence: test_a_job_with_an_endless_estimate_hangs_no_entry got no answer within 5 s before.

Result: both entries answer the job and the jobs after it.

--- a/snipewell/platform/jobs.py
+++ b/snipewell/platform/jobs.py
@@ -26,8 +26,15 @@
 _JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 _MAX_SPECIFICATION_BYTES = 4_000
 """Largest size of ``specification`` in bytes, as documented by the platform."""
+_MAX_ESTIMATE_MS = 86_400_000.0
+"""Longest estimate of a task that is used, one day. Estimates are rough, so a longer one is cut to
+it: sums and products of estimates then stay finite."""
+_MAX_WAIT_MS = 86_400_000.0
+"""Longest time for which a client is taken to wait, one day."""
 _MAX_TASKS = 10_000
 """Largest number of tasks in one job. The projected size in two years needs 1,300."""
+_MAX_FIGURE = 2**53
+"""Largest amount of a resource; every JSON implementation represents it exactly."""
 
 
 class JobFormatError(Exception):
@@ -94,8 +101,11 @@
 
 
 def _decode_step(number: int, step: _Step) -> StepSpec:
-    if min(step.count, step.cpu, step.memMb, step.gpus) < 0 or step.estimatedMs < 0:
+    figures = (step.count, step.cpu, step.memMb, step.gpus)
+    if min(figures) < 0 or step.estimatedMs < 0:
         raise JobFormatError(f"steps.{number}: expected no negative figures")
+    if max(figures) > _MAX_FIGURE:
+        raise JobFormatError(f"steps.{number}: expected figures up to {_MAX_FIGURE}")
     if any(not 0 <= earlier < number for earlier in step.after):
         raise JobFormatError(f"steps.{number}.after: expected numbers of earlier steps")
     requested = {
@@ -108,7 +118,7 @@
     return StepSpec(
         step.count,
         ResourceVector(step.cpu, step.memMb, step.gpus),
-        step.estimatedMs,
+        min(step.estimatedMs, _MAX_ESTIMATE_MS),
         tuple(step.after),
         step.requirements,
         step.affinity,
@@ -126,7 +136,9 @@
         wait_ms = float(request.headers.get(DEADLINE_HEADER, ""))
     except ValueError:
         return None
-    return wait_ms if math.isfinite(wait_ms) and wait_ms > 0 else None
+    if not math.isfinite(wait_ms) or wait_ms <= 0:
+        return None
+    return min(wait_ms, _MAX_WAIT_MS)
 
 
 def encode_outcome(outcome: JobOutcome) -> Response:
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -10,10 +11,14 @@
 import msgspec
 import pytest
 
+from snipewell.client import fetch
 from snipewell.standins.metadata import StoreFaults
 from snipewell.standins.platformupstream import StandInUpstream, UpstreamFaults
+from snipewell.web import Request
 
 from .jobfleet import (
+    HOST,
+    PREFIX,
     SERVICE,
     Daemon,
     JobFleet,
@@ -190,6 +195,32 @@
     assert {run.attempt for run in fleet.runs()} == {1}
 
 
+def test_a_job_with_an_endless_estimate_hangs_no_entry(tmp_path: Path) -> None:
+    """Guards against entries that answer nobody after one job, while they count as ready."""
+    fleet = JobFleet(tmp_path, 9)
+    statuses: list[int] = []
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            for entry in fleet.entries:
+                step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimatedMs": sys.float_info.max}
+                body = {"specification": '{"ms":20}', "bestEffort": True, "steps": [step]}
+                headers = {"host": HOST, "snipewell-deadline-ms": "5000"}
+                path = f"{PREFIX}{fleet.rng.getrandbits(64):016x}"
+                request = Request("POST", path, {}, headers, msgspec.json.encode(body))
+                statuses.append((await fetch(entry.address, request, 5_000)).status)
+            await fleet.load(2.0, JOBS_PER_S)
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+    check_invariants(fleet)
+    assert statuses == [200, 200]
+    assert {client.state for client in fleet.clients} == {"completed"}
+    assert {client.sent for client in fleet.clients} == {1}
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_graceful_shutdown_aborts_no_job(tmp_path: Path, role: str) -> None:
     """Guards against work lost on SIGTERM.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -202,6 +202,20 @@
     assert (second.after, second.label) == ((0,), "a")
 
 
+@pytest.mark.parametrize("estimate", [1.7976931348623157e308, 1e300, 86_400_001.0])
+def test_a_huge_estimate_is_cut(estimate: float) -> None:
+    """Guards against an entry that answers nobody after arithmetic with an infinite estimate."""
+    step = {"count": 2, "cpu": 1, "estimatedMs": estimate}
+    steps = [step, {**step, "after": [0]}]
+    body = {"specification": "", "bestEffort": True, "steps": steps}
+    assert decode_job(JOB_ID, encode(body)).chain_ms() == 2 * 86_400_000.0
+
+
+def test_a_huge_client_timeout_is_cut() -> None:
+    request = Request("POST", "/", headers={"snipewell-deadline-ms": "1e308"})
+    assert decode_client_wait_ms(request) == 86_400_000.0
+
+
 def test_a_job_without_best_effort_is_durable() -> None:
     """A durable job taken for a best-effort one would be lost with the entry's process."""
     spec = decode_job(JOB_ID, encode({key: JOB[key] for key in ("specification", "steps")}))
@@ -230,6 +244,8 @@
         {"specification": "", "steps": []},
         {"specification": "", "steps": [{"count": 100_000}]},
         {"specification": "", "steps": [{"count": 1, "cpu": -1}]},
+        {"specification": "", "steps": [{"count": 1, "cpu": 2**53 + 1}]},
+        {"specification": "", "steps": [{"count": 1, "memMb": 10**30}]},
         {"specification": "", "steps": [{"count": 1, "after": [0]}]},
         {"specification": "", "steps": [{"count": 1}, {"count": 1, "after": [2]}]},
     ],
