Ignore signals in a process that finishes its requests

Cause: the handlers were in force only while the process waited for SIGTERM. Before and after that, SIGHUP ended it, as a second SIGTERM did.

Change: after the first SIGTERM a daemon ignores SIGTERM, SIGINT and SIGHUP and ends when its work is done. SIGHUP is ignored from the start of main until it is handled.

--- a/snipewell/daemon.py
+++ b/snipewell/daemon.py
@@ -122,8 +122,13 @@
 
 
 async def wait_for_stop(reload: Callable[[], None]) -> None:
-    """Return at SIGTERM or SIGINT; call ``reload`` at each SIGHUP."""
-    async with SignalQueue(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    """Return at SIGTERM or SIGINT; call ``reload`` at each SIGHUP.
+
+    Afterwards the process ignores these signals, since it has requests to finish; only SIGKILL ends
+    it sooner.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    async with SignalQueue(*numbers, ignore_afterwards=True) as signals:
         while await signals.get() is signal.SIGHUP:
             reload()
 
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import socket
 import sys
 
@@ -96,6 +97,8 @@
 
 def main() -> None:
     """Run the daemon named by the first argument; exit with status 2 on invalid settings."""
+    # The settings file may change while the process starts and reads it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imports create no garbage worth collecting; `freeze_memory` enables the collector again.
     gc.disable()
     try:
--- a/snipewell/signals.py
+++ b/snipewell/signals.py
@@ -14,10 +14,14 @@
     """Queue of received signals, for use as an async context manager in the main thread.
 
     For example ``async with SignalQueue(signal.SIGTERM) as signals: await signals.get()``.
+
+    The signals have their earlier handlers again after the context; with ``ignore_afterwards``,
+    they are ignored instead, so that they can't end a process that is shutting down.
     """
 
-    def __init__(self, *signals: signal.Signals) -> None:
+    def __init__(self, *signals: signal.Signals, ignore_afterwards: bool = False) -> None:
         self._signals = signals
+        self._ignore_afterwards = ignore_afterwards
         self._previous: dict[signal.Signals, Any] = {}
         self._previous_descriptor = -1
 
@@ -37,7 +41,7 @@
         traceback: TracebackType | None,
     ) -> None:
         for number, handler in self._previous.items():
-            signal.signal(number, handler)
+            signal.signal(number, signal.SIG_IGN if self._ignore_afterwards else handler)
         signal.set_wakeup_fd(self._previous_descriptor)
         await self._receiving.close()
         self._sending.close()
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -11,6 +12,7 @@
 import msgspec
 import pytest
 
+from snipewell.address import split_address
 from snipewell.client import fetch
 from snipewell.standins.metadata import StoreFaults
 from snipewell.standins.platformupstream import StandInUpstream, UpstreamFaults
@@ -221,6 +223,69 @@
     assert {client.sent for client in fleet.clients} == {1}
 
 
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_signals_in_series_abort_no_job(tmp_path: Path, role: str) -> None:
+    """Guards against a SIGHUP or a second SIGTERM that cuts the work of a stopping process."""
+    fleet = JobFleet(tmp_path, 10)
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            daemon = (fleet.entries if role == "entry" else fleet.agents)[0]
+            # Every agent has runs when the signals come.
+            long_job = await curio.spawn(fleet.submit, 9, 1_500.0)
+            numbers = [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]
+            for number, sent in enumerate(numbers):
+                await fleet.after(0.8 + 0.1 * number, lambda sent=sent: daemon.signal(sent))
+            await fleet.load(1.5, JOBS_PER_S)
+            await long_job.join()
+            assert daemon.process is not None
+            for _ in range(80):
+                if daemon.process.poll() is not None:
+                    break
+                await curio.sleep(0.1)
+            assert daemon.process.poll() == 0
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+    check_invariants(fleet)
+    assert {run.how for run in fleet.runs()} == {"done"}
+    answered = [client.statuses for client in fleet.clients]
+    assert [statuses for statuses in answered if set(statuses) & {502, 504}] == []
+    if role == "agent":
+        assert {client.sent for client in fleet.clients} == {1}
+
+
+def is_listening(address: str) -> bool:
+    """Return whether connections to ``address`` are accepted or queued."""
+    with socket.socket() as probe:
+        return probe.connect_ex(split_address(address)) == 0
+
+
+def test_a_reload_while_a_process_starts_does_not_end_it(tmp_path: Path) -> None:
+    fleet = JobFleet(tmp_path, 11)
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            daemon = fleet.entries[0]
+            daemon.kill()
+            daemon.reap()
+            daemon.start()
+            assert daemon.process is not None
+            while not is_listening(daemon.address):
+                await curio.sleep(0.002)
+            for _ in range(60):
+                daemon.signal(signal.SIGHUP)
+                await curio.sleep(0.02)
+            assert daemon.process.poll() is None
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_graceful_shutdown_aborts_no_job(tmp_path: Path, role: str) -> None:
     """Guards against work lost on SIGTERM.
