--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 
 settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.register_profile("long", settings.get_profile("fixed"), max_examples=20_000)
 settings.load_profile("fixed")
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -16,6 +17,7 @@
 from snipewell.errors import MessageError
 from snipewell.group import VOTERS_KEY, decode_part
 from snipewell.ids import Revision
+from snipewell.job import JobSpec
 from snipewell.message import PROTOCOL_VERSION, decode
 from snipewell.partition import PartitionTable
 from snipewell.platform.configuration import decode_catalog
@@ -109,3 +111,67 @@
             decode_message(data)
         except MessageError:
             pass
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8),
+    lambda children: (
+        st.lists(children, max_size=3) | st.dictionaries(st.text(max_size=4), children, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def replace_at(message: object, path: tuple[object, ...], value: object) -> object:
+    """Return ``message`` with ``value`` in the place that ``path`` names."""
+    if not path:
+        return value
+    match message:
+        case dict():
+            return {**message, path[0]: replace_at(message[path[0]], path[1:], value)}
+        case list():
+            number = path[0]
+            assert isinstance(number, int)
+            items = list(message)
+            items[number] = replace_at(items[number], path[1:], value)
+            return items
+    raise AssertionError(f"no place {path} in {message!r}")
+
+
+def places(message: object) -> list[tuple[object, ...]]:
+    """Return the paths of all values in ``message``."""
+    match message:
+        case dict():
+            inner = [(name, *path) for name, value in message.items() for path in places(value)]
+        case list():
+            inner = [(n, *path) for n, value in enumerate(message) for path in places(value)]
+        case _:
+            inner = []
+    return [(), *inner]
+
+
+@pytest.mark.parametrize("name", ["heartbeat", "job", "catalog"])
+@given(data=st.data())
+def test_a_message_with_one_value_replaced_raises_only_the_expected_error(
+    name: str, data: st.DataObject
+) -> None:
+    """Guards against values that pass a decoder and raise where they are used."""
+    decode_message, error, valid = JSON_DECODERS[name]
+    message = msgspec.json.decode(valid)
+    path = data.draw(st.sampled_from(places(message)))
+    value = data.draw(JSON_VALUES)
+    encoded = msgspec.json.encode(replace_at(message, path, value))
+    try:
+        decoded = decode_message(encoded)
+    except error:
+        return
+    if isinstance(decoded, JobSpec):
+        assert math.isfinite(decoded.chain_ms())
+        assert all(
+            max(step.resources.cpu_milli, step.resources.memory_mb) <= 2**53
+            for step in decoded.steps
+        )
