Tests: no port twice in one fleet, and soaks of any size

The log of entry-0 has "Address already in use" for its readiness address, on the loopback address of its own fleet; no other process uses that one.

Cause: the kernel may give the same port to two calls of free_port, as nothing is bound between them. Which daemon had the port isn't in its logs: those of the upstreams aren't logged.

Change: free_port remembers the ports that it has returned. The soak takes the numbers of entries, agents and jobs per second as options.

--- a/tests/jobfleet.py
+++ b/tests/jobfleet.py
@@ -48,6 +48,9 @@
 }
 
 
+_allocated_ports: set[tuple[str, int]] = set()
+
+
 def draw_host() -> str:
     """Return a random loopback address.
 
@@ -58,10 +61,13 @@
 
 
 def free_port(host: str) -> int:
-    """Return a port that was free on the address ``host`` at the time of the call."""
-    with open_listener(host, 0) as listener:
-        port: int = listener.getsockname()[1]
-        return port
+    """Return a port that was free on the address ``host``, another one with each call."""
+    while True:
+        with open_listener(host, 0) as listener:
+            port: int = listener.getsockname()[1]
+        if (host, port) not in _allocated_ports:
+            _allocated_ports.add((host, port))
+            return port
 
 
 @dataclass
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,9 @@
         "--seconds", type=float, default=12.0, help="period in which faults begin, in seconds"
     )
     parser.add_argument("--faults", type=int, default=10, help="number of faults per seed")
+    parser.add_argument("--entries", type=int, default=2, help="number of entries")
+    parser.add_argument("--agents", type=int, default=3, help="number of agents and upstreams")
+    parser.add_argument("--per-s", type=float, default=8.0, help="jobs per second")
     parser.add_argument(
         "--report", type=Path, help="write an HTML page with a timeline of each run"
     )
@@ -32,7 +35,14 @@
     seeds = list(range(options.first, options.first + options.seeds))
     results = []
     for seed in list(REGRESSIONS) if options.regressions else seeds:
-        result = run_seed(seed, options.seconds, options.faults)
+        result = run_seed(
+            seed,
+            options.seconds,
+            options.faults,
+            options.per_s,
+            options.entries,
+            options.agents,
+        )
         results.append(result)
         total = len(result.answers)
         print(f"seed {seed}: {total} jobs, {result.completed} completed", flush=True)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -38,10 +38,18 @@
         return sum(status == 200 for _, _, status in self.answers)
 
 
-def run_seed(seed: int, seconds: float, faults: int, per_s: float = 8.0) -> SoakResult:
+def run_seed(
+    seed: int,
+    seconds: float,
+    faults: int,
+    per_s: float = 8.0,
+    entries: int = 2,
+    agents: int = 3,
+) -> SoakResult:
     """Run one seed in a temporary directory, which is retained with its logs if the run fails."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    result = curio.run(_run_seed, directory, seed, seconds, faults, per_s)
+    fleet = SoakFleet(directory, seed, entries, agents)
+    result = curio.run(_run_seed, fleet, seed, seconds, faults, per_s)
     if result.violations:
         result.violations.append(f"logs: {directory}")
     else:
@@ -52,10 +60,9 @@
 
 
 async def _run_seed(
-    directory: Path, seed: int, seconds: float, faults: int, per_s: float
+    fleet: SoakFleet, seed: int, seconds: float, faults: int, per_s: float
 ) -> SoakResult:
     result = SoakResult(seed)
-    fleet = SoakFleet(directory, seed)
     rng = Random(f"faults of {seed}")
     try:
         await fleet.start()
