--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -175,6 +175,11 @@
         """Registered upstream, or None."""
         return self._upstream
 
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Availability zones out of service, as far as the agent knows."""
+        return self._zones_out
+
     @property
     def running(self) -> int:
         """Number of runs that occupy resources of the upstream, indeterminate starts included."""
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -240,7 +240,9 @@
     async def _on_zones(self, update: Listing | Changes) -> None:
         if self._desired.apply(update):
             desired = self._desired
-            await self._task.put(self._core.set_zones_out, int(desired.revision), desired.zones_out)
+            revision = int(desired.revision)
+            await self._task.call(self._core.set_zones_out, revision, desired.zones_out)
+            await self._entries_changed.set()
 
     async def _on_entries(self, update: Listing | Changes) -> None:
         self._directory.apply(update, self._clock.now_ms())
@@ -258,6 +260,7 @@
                 self._settings.zone,
                 {name: entry.zone for name, entry in entries.items()},
                 self._core.entries.find_failed(now_ms),
+                self._core.zones_out,
             )
             for name in sorted(subset):
                 await self._connect(entries[name])
--- a/snipewell/subset.py
+++ b/snipewell/subset.py
@@ -7,7 +7,9 @@
 
 Half of the subset is in the agent's own availability zone, where frames are fast and cost nothing.
 The rest is spread evenly over the other zones, so that an entry keeps enough upstreams when one
-zone is lost or out of service.
+zone is lost. While a zone is out of service, its entries still serve their clients but can't use
+the upstreams beside them, which are half of theirs; the agents of the other zones then select more
+entries of that zone.
 """
 
 from __future__ import annotations
@@ -26,7 +28,11 @@
 
 
 def select_entries(
-    agent: str, zone: str, entry_zones: Mapping[str, str], failed: Collection[str] = ()
+    agent: str,
+    zone: str,
+    entry_zones: Mapping[str, str],
+    failed: Collection[str] = (),
+    zones_out: Collection[str] = (),
 ) -> set[str]:
     """Return the names of the entries that the agent ``agent`` in ``zone`` connects to.
 
@@ -36,12 +42,37 @@
 
     ``failed`` holds the entries that don't respond. They stay in the subset, since they may come
     back, and substitutes are added for them: the entries that would be selected without them.
+    ``zones_out`` holds the zones out of service, of whose entries more are selected.
     """
     subset = _select(agent, zone, entry_zones)
-    if subset.isdisjoint(failed):
-        return subset
     working = {entry: name for entry, name in entry_zones.items() if entry not in failed}
-    return subset | _select(agent, zone, working)
+    if not subset.isdisjoint(failed):
+        subset |= _select(agent, zone, working)
+    return subset | _select_displaced(agent, zone, working, subset, zones_out)
+
+
+def _select_displaced(
+    agent: str,
+    zone: str,
+    entry_zones: Mapping[str, str],
+    subset: Collection[str],
+    zones_out: Collection[str],
+) -> set[str]:
+    """Return the entries of ``zones_out`` to add to ``subset``.
+
+    The agents of a zone out of service held `LOCAL_SHARE` of its entries' sessions; the agents of
+    the zones in service replace them in equal parts.
+    """
+    in_service = set(entry_zones.values()) - set(zones_out)
+    if zone not in in_service:
+        return set()
+    places = -(-round(LOCAL_SHARE * SUBSET_SIZE) // len(in_service))
+    ranked = sorted(entry_zones, key=lambda entry: _weigh(agent, entry), reverse=True)
+    displaced = [
+        entry for entry in ranked if entry_zones[entry] in zones_out and entry not in subset
+    ]
+    selected = _limit_per_zone(displaced, entry_zones, places)
+    return set(selected[: max(0, MAX_SESSIONS - len(subset))])
 
 
 def _select(agent: str, zone: str, entry_zones: Mapping[str, str]) -> set[str]:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -104,6 +104,34 @@
         assert reachable >= 2 * fair_share, entry
 
 
+@pytest.mark.parametrize(("zones", "entries", "agents"), [(3, 14, 75), (4, 14, 74), (5, 35, 160)])
+def test_entries_of_a_zone_out_of_service_reach_as_many_upstreams_as_the_others(
+    zones: int, entries: int, agents: int
+) -> None:
+    """Their clients stay, but half of their sessions were with upstreams of the lost zone.
+
+    Guards against jobs that wait at these entries while the upstreams of the others have capacity.
+    """
+    entry_zones = {f"entry-{n}": ZONES[n % zones] for n in range(entries)}
+    agent_zones = {f"agent-{n}": ZONES[n % zones] for n in range(agents)}
+    for lost in ZONES[:zones]:
+        subsets = {
+            agent: select_entries(agent, zone, entry_zones, zones_out={lost})
+            for agent, zone in agent_zones.items()
+        }
+        assert max(len(subset) for subset in subsets.values()) <= MAX_SESSIONS
+        in_service = [agent for agent, zone in agent_zones.items() if zone != lost]
+        reach = {entry: sum(entry in subsets[a] for a in in_service) for entry in entry_zones}
+        of_lost = [reach[entry] for entry, zone in entry_zones.items() if zone == lost]
+        others = [reach[entry] for entry, zone in entry_zones.items() if zone != lost]
+        assert sum(of_lost) / len(of_lost) >= 0.9 * sum(others) / len(others)
+
+
+def test_a_zone_out_of_service_changes_no_session_of_a_small_fleet() -> None:
+    zones, _ = make_fleet(SUBSET_SIZE, 11)
+    assert select_entries("agent-1", "z2", zones, zones_out={"z1"}) == set(zones)
+
+
 def serve(subsets: dict[str, set[str]], demand: dict[str, float], slots: int) -> float:
     """Return the share of ``demand`` that gets a slot when entries take free ones in random order.
 
