--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -24,8 +24,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from .departure import projected_rest_ms, time_left_ms
 from .entrysession import STOP_MARGIN_MS, EntrySessions, SendFrame
 from .ids import UpstreamId
 from .job import ResourceVector, RunEnd
@@ -194,15 +195,21 @@
         incarnation has answered a call.
         """
         previous = self._upstream
+        upstream = replace(upstream, heartbeat_ms=now_ms)
         if previous is None:
             self._on_new_incarnation(upstream, now_ms)
         elif not is_same_upstream(previous, upstream):
             self._on_successor(upstream, now_ms)
         elif previous.address != upstream.address:
             self._on_new_incarnation(upstream, now_ms)
-        elif previous != upstream:
+        else:
             if upstream.draining and not previous.draining:
-                self._note("the upstream is draining", upstream=upstream.upstream)
+                self._note(
+                    "the upstream is draining",
+                    upstream=upstream.upstream,
+                    remaining_ms=upstream.remaining_ms,
+                    runs=len(self._runs),
+                )
             self._upstream = upstream
         self.entries.report(now_ms)
 
@@ -551,6 +558,7 @@
                 run.percent = row.percent
                 run.last_progress_ms = now_ms
             self._report_if_slow(key, run, now_ms)
+            self._report_if_leaving(key, run, now_ms)
             return
         if run.state is RunState.INDETERMINATE and call.fence > run.fence:
             self._finish(key, run.end_if_unlisted, "the upstream doesn't list the run", now_ms)
@@ -568,6 +576,29 @@
             )
             self.entries.send(run.peer, run.session, slow, now_ms)
 
+    def _report_if_leaving(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
+        """Report a run once to its entry if it will outlast the departure of the upstream."""
+        assert self._upstream is not None
+        left_ms = time_left_ms(self._upstream, now_ms)
+        if left_ms is None or run.leaving_reported or run.stop_reason:
+            return
+        elapsed_ms = now_ms - run.start_sent_ms
+        expected_ms = run.order.estimate_ms * self._slowness(now_ms)
+        rest_ms = projected_rest_ms(elapsed_ms, run.percent, expected_ms)
+        if rest_ms <= left_ms:
+            return
+        run.leaving_reported = True
+        self._note(
+            "run outlasts the departure of the upstream",
+            task=key[0],
+            attempt=key[1],
+            time_left_ms=round(left_ms),
+            rest_ms=round(rest_ms),
+            percent=run.percent,
+        )
+        slow = RunSlow(key[0], key[1], elapsed_ms, rest_ms, True, left_ms)
+        self.entries.send(run.peer, run.session, slow, now_ms)
+
     # Orders of entries.
 
     def leave_entry(self, peer: str, now_ms: float) -> None:
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -157,6 +157,7 @@
         self.metrics.gauge("starts", lambda: counters.starts)
         self.metrics.gauge("rejected_starts", lambda: counters.rejected_starts)
         self.metrics.gauge("lost_runs", lambda: counters.lost_runs)
+        self.metrics.gauge("leaving_moves", lambda: counters.leaving_moves)
         self.metrics.gauge("crashing_jobs", lambda: counters.crashing)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
 
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -29,9 +29,11 @@
     lost: int = 0
     """Number of runs that were lost, stopped or stalled, or whose lease expired."""
     moves: int = 0
-    """Number of slow runs that were stopped to restart the task on another upstream."""
+    """Number of runs that were stopped to restart the task on another upstream."""
+    moved_attempt: int = 0
+    """Attempt that was last stopped in order to move the task."""
     avoid: set[UpstreamId] = field(default_factory=set)
-    """Upstreams on which a run failed, was lost or was slow."""
+    """Upstreams on which a run failed, was lost or was slow, or which were leaving."""
     waiting_since_ms: float = 0.0
     lost_ms: float = float("-inf")
     """Time at which a run was last lost."""
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -14,6 +14,7 @@
 from .agentsession import AgentSessions
 from .agentview import AgentView
 from .crashes import CrashCounts
+from .departure import DepartureMoves, LeavingRun, Move, Stay
 from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import JobRefused, RunEnd, StepSpec
 from .jobqueue import RATE_WINDOW_MS, StartedWorkRate, WaitingJob, plan, retry_after_ms
@@ -84,6 +85,7 @@
         self._refuse = refuse
         self._log = log
         self._outliers = OutlierDetector(rng)
+        self._departures = DepartureMoves()
         self._probing: list[Candidate] = []
         self._next_round_ms = float("-inf")
         self._rate = StartedWorkRate()
@@ -327,21 +329,48 @@
             or view.report.slowness < MIN_MOVE_SLOWNESS_RATIO * median_slowness
         ):
             return False
-        step = task.job.spec.steps[task.step]
         nominal_ms = (slow.elapsed_ms + slow.left_ms) / view.report.slowness
         elsewhere_ms = min(
             (
-                nominal_ms * other.report.slowness
-                for other in usable
-                if other is not view
-                and other.upstream not in task.avoid
-                and self._outliers.health(other.upstream) is Health.ACTIVE
-                and may_run(other, step, other.available())
+                nominal_ms * other.slowness
+                for other in self._find_elsewhere(task, view, usable)
+                if task.resources.fits(other.available)
             ),
             default=float("inf"),
         )
         return slow.left_ms >= MIN_MOVE_SPEEDUP * elsewhere_ms
 
+    def decide_departure(
+        self, task: Task, view: AgentView, slow: RunSlow, now_ms: float
+    ) -> Move | Stay:
+        """Decide whether to stop a run that is projected to outlast its upstream's departure."""
+        usable = self._find_usable(task.job.queue.service, now_ms)
+        run = LeavingRun(
+            task.name,
+            slow.elapsed_ms + slow.left_ms,
+            slow.left_ms,
+            slow.departure_in_ms,
+            view.report.slowness,
+            task.resources,
+            task.moves < MAX_MOVES,
+        )
+        elsewhere = self._find_elsewhere(task, view, usable)
+        return self._departures.decide(run, elsewhere, self.demand_cpu_milli)
+
+    def _find_elsewhere(
+        self, task: Task, view: AgentView, usable: list[AgentView]
+    ) -> list[Candidate]:
+        """Return the upstreams other than that of ``view`` that could run ``task`` when free."""
+        step = task.job.spec.steps[task.step]
+        return [
+            Candidate.from_view(other)
+            for other in usable
+            if other is not view
+            and other.upstream not in task.avoid
+            and self._outliers.health(other.upstream) is Health.ACTIVE
+            and may_run(other, step, other.report.capacity)
+        ]
+
     def record_start(self, step: StepSpec, now_ms: float) -> None:
         """Add the start of a task of ``step`` to the measured rate of started work."""
         self._rate.add(step.estimate_ms * step.resources.cpu_milli / 1000, now_ms)
@@ -351,6 +380,7 @@
 
         Only ends that say something about the upstream count: done, failed and stalled.
         """
+        self._departures.on_run_end(task.name)
         upstream = view.upstream
         if not upstream or how not in (RunEnd.DONE, RunEnd.FAILED, RunEnd.STALLED):
             return
--- a/snipewell/platform/upstream.py
+++ b/snipewell/platform/upstream.py
@@ -151,10 +151,20 @@
         capacity,
         tuple(heartbeat.labels),
         heartbeat.state == "draining",
+        _find_remaining_ms(heartbeat),
     )
     return description, heartbeat.sequence
 
 
+def _find_remaining_ms(heartbeat: _Heartbeat) -> float | None:
+    """Return the time until the departure that a heartbeat announces, or None.
+
+    A missing field is decoded as 0, so 0 doesn't count as an announcement.
+    """
+    announced = heartbeat.state == "draining" and heartbeat.remainingMs > 0
+    return heartbeat.remainingMs if announced else None
+
+
 def parse_registration_path(path: str) -> tuple[str, str] | None:
     """Return the upstream ID and the call (``heartbeat`` or ``deregister``) of a registration path.
 
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -55,6 +55,8 @@
     """Progress in percent, -1 until the upstream lists the run."""
     slow_reported_ms: float = float("-inf")
     """Time of the last report of the run as slow."""
+    leaving_reported: bool = False
+    """Whether the run was reported as one that outlasts the departure of the upstream."""
     retried: bool = False
     end_if_unlisted: RunEnd = RunEnd.REJECTED
     """How the run ends if its start is indeterminate and the upstream doesn't list it."""
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -102,13 +102,19 @@
     free: ResourceVector | None = None
 
 
-class RunSlow(msgspec.Struct, tag="slow", frozen=True):
-    """A run slower than expected; ``left_ms`` is its projected remaining time."""
+class RunSlow(msgspec.Struct, tag="slow", frozen=True, omit_defaults=True):
+    """A run slower than expected; ``left_ms`` is its projected remaining time.
+
+    With ``leaving``, the run need not be slow: its upstream has announced that it leaves in
+    ``departure_in_ms`` at the earliest, before the projected end of the run.
+    """
 
     task: str
     attempt: int
     elapsed_ms: float
     left_ms: float
+    leaving: bool = False
+    departure_in_ms: float = 0.0
 
 
 class StartRun(msgspec.Struct, tag="start", frozen=True, omit_defaults=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -24,6 +24,7 @@
 )
 from .agentview import AgentView
 from .crashes import CrashCounts
+from .departure import Move, Stay
 from .job import (
     Attempt,
     Catalog,
@@ -117,6 +118,8 @@
     lost_runs: int = 0
     """Runs of open jobs that were lost, stopped or stalled, or whose lease expired. Slow runs that
     were stopped to move their task don't count."""
+    leaving_moves: int = 0
+    """Runs that were stopped to move their task away from an upstream that was leaving."""
 
 
 class Scheduler:
@@ -418,10 +421,13 @@
         The task is placed again when the agent reports the end of the stopped run.
         """
         task = self._runs.get((slow.task, slow.attempt))
-        if task is None or task.job.ended or not self._placer.should_move(task, view, slow, now_ms):
+        if task is None or task.job.ended or task.moved_attempt == slow.attempt:
+            return
+        if slow.leaving:
+            self._on_run_leaving(task, view, slow, now_ms)
+            return
+        if not self._placer.should_move(task, view, slow, now_ms):
             return
-        task.moves += 1
-        task.avoid.add(view.upstream)
         self._log(
             "stopping a slow run to restart it elsewhere",
             job=task.job.spec.job,
@@ -431,7 +437,39 @@
             left_ms=round(slow.left_ms),
             slowness=view.report.slowness,
         )
-        self.sessions.send(view, StopRun(slow.task, slow.attempt), now_ms)
+        self._stop_to_move(task, view, now_ms)
+
+    def _on_run_leaving(self, task: Task, view: AgentView, slow: RunSlow, now_ms: float) -> None:
+        """Stop a run that would be lost with its upstream if its task then ends earlier."""
+        decision = self._placer.decide_departure(task, view, slow, now_ms)
+        match decision:
+            case Move():
+                text, reason = "moving a run off a leaving upstream", ""
+            case Stay():
+                text, reason = "a run stays on a leaving upstream", decision.reason
+        self._log(
+            text,
+            reason=reason,
+            job=task.job.spec.job,
+            task=task.name,
+            attempt=slow.attempt,
+            upstream=view.upstream,
+            time_left_ms=round(slow.departure_in_ms),
+            rest_ms=round(slow.left_ms),
+            elsewhere_in_ms=decision.outlook.elsewhere_in_ms,
+            after_loss_in_ms=decision.outlook.after_loss_in_ms,
+            room_cpu=decision.outlook.room_cpu_milli,
+        )
+        if isinstance(decision, Move):
+            self.counters.leaving_moves += 1
+            self._stop_to_move(task, view, now_ms)
+
+    def _stop_to_move(self, task: Task, view: AgentView, now_ms: float) -> None:
+        """Stop the present run of ``task``, whose end lets the task start on another upstream."""
+        task.moves += 1
+        task.moved_attempt = task.attempt
+        task.avoid.add(view.upstream)
+        self.sessions.send(view, StopRun(task.name, task.attempt), now_ms)
 
     def _on_session_ended(self, event: AgentSessionEnded, now_ms: float) -> None:
         lost = [(key, task) for key, task in self._runs.items() if task.view is event.view]
--- a/snipewell/upstreamcall.py
+++ b/snipewell/upstreamcall.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from .ids import UpstreamId
@@ -21,6 +21,12 @@
     capacity: ResourceVector
     labels: tuple[str, ...] = ()
     draining: bool = False
+    remaining_ms: float | None = field(default=None, compare=False)
+    """Shortest time from the heartbeat to the departure of a draining upstream with all its runs,
+    or None if the heartbeat announces none. It changes with every heartbeat, so it isn't compared,
+    nor is the time of the heartbeat."""
+    heartbeat_ms: float = field(default=float("-inf"), compare=False)
+    """Time at which the agent received the heartbeat, on its monotonic clock."""
 
 
 @dataclass(frozen=True, slots=True)
