--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -30,7 +30,7 @@
 from .ids import UpstreamId
 from .job import ResourceVector, RunEnd
 from .lease import LeaseClock
-from .run import MIN_PROJECTED_PERCENT, SLOW_REPORT_MS, Run, RunState
+from .run import Run, RunState
 from .runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
@@ -38,14 +38,13 @@
     SUSPECT_RUNNING,
     EntryFrame,
     RunEnded,
-    RunSlow,
     StartRun,
     StopRun,
     UpstreamCrash,
     UpstreamReport,
     ZoneNotice,
 )
-from .speed import SlownessEstimator
+from .runspeed import RunSpeed, is_stalled, notice_if_slow
 from .upstreamcall import (
     CallHold,
     CallStart,
@@ -84,12 +83,6 @@
 TICK_GAP_MS = 300.0
 """Gap between two ticks from which the process counts as stalled: several times their longest
 interval."""
-STALL_MS = 500.0
-"""Shortest time without progress after which a run is stopped as stalled."""
-STALL_SHARE = 0.35
-"""Shortest time without progress after which a run is stopped, as a share of its expected duration;
-the longer of the two applies. On a healthy upstream, progress advances by 1% within a hundredth of
-the duration, so this share is reached only by runs that are about 35 times slower."""
 UNHEALTHY_MS = 1_000.0
 """Time for which an upstream is reported as unhealthy after it refused a start as unhealthy or as
 addressed to another instance, a start could not be sent, or the lease expired without an answer."""
@@ -148,7 +141,7 @@
         self._successor_poll_sent_ms = float("-inf")
         self._reconciled = False
         self._lease = LeaseClock()
-        self._speed = SlownessEstimator()
+        self._speed = RunSpeed()
         self._acked = 0
         self._ack_due = False
         self._runs: dict[tuple[str, int], Run] = {}
@@ -550,7 +543,9 @@
             if row.percent > run.percent:
                 run.percent = row.percent
                 run.last_progress_ms = now_ms
-            self._report_if_slow(key, run, now_ms)
+            slow = notice_if_slow(run, now_ms)
+            if slow is not None:
+                self.entries.send(run.peer, run.session, slow, now_ms)
             return
         if run.state is RunState.INDETERMINATE and call.fence > run.fence:
             self._finish(key, run.end_if_unlisted, "the upstream doesn't list the run", now_ms)
@@ -558,16 +553,6 @@
         elif run.state is RunState.RUNNING and call.sent_ms > run.last_progress_ms:
             self._finish(key, RunEnd.LOST, "the upstream doesn't list the run", now_ms)
 
-    def _report_if_slow(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
-        """Report a run to its entry if its projected duration is far above the expected one."""
-        if run.is_slow(now_ms) and now_ms - run.slow_reported_ms >= SLOW_REPORT_MS:
-            run.slow_reported_ms = now_ms
-            elapsed_ms = now_ms - run.start_sent_ms
-            slow = RunSlow(
-                key[0], key[1], elapsed_ms, run.projected_duration_ms(now_ms) - elapsed_ms
-            )
-            self.entries.send(run.peer, run.session, slow, now_ms)
-
     # Orders of entries.
 
     def leave_entry(self, peer: str, now_ms: float) -> None:
@@ -783,7 +768,7 @@
         self.counters.ends[how.value] = self.counters.ends.get(how.value, 0) + 1
         elapsed_ms = 0.0 if how is RunEnd.REJECTED else now_ms - run.start_sent_ms
         if how is RunEnd.DONE:
-            self._speed.add_sample(elapsed_ms / max(1.0, run.order.estimate_ms), now_ms)
+            self._speed.add_done(run, elapsed_ms, now_ms)
         stopping_ms = now_ms - run.stop_requested_ms if run.stop_reason else 0.0
         if stopping_ms > STOP_MARGIN_MS:
             self.counters.slow_stops += 1
@@ -854,10 +839,7 @@
             if run.is_stop_due(now_ms):
                 self._call_stop(run, now_ms)
             return
-        limit_ms = max(STALL_MS, STALL_SHARE * run.order.estimate_ms)
-        # The time of the last answer is compared, because there is no progress information without
-        # lists from the upstream.
-        if self._answered_ms - run.last_progress_ms >= limit_ms:
+        if is_stalled(run, self._answered_ms):
             self.counters.stalled += 1
             self._stop(key, RunEnd.STALLED.value, now_ms)
 
@@ -887,16 +869,8 @@
             and self._down_since_ms is None
             and not self._is_silent(now_ms),
             self.entries.open_count,
-            self._slowness(now_ms),
+            self._speed.slowness(self._runs.values(), now_ms),
         )
 
-    def _slowness(self, now_ms: float) -> float:
-        projected = [
-            run.projected_duration_ms(now_ms) / max(1.0, run.order.estimate_ms)
-            for run in self._runs.values()
-            if run.percent >= MIN_PROJECTED_PERCENT
-        ]
-        return self._speed.slowness(projected, now_ms)
-
     def _note(self, text: str, **fields: object) -> None:
         self.effects.append(LogRecord(text, fields))
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -54,7 +54,7 @@
     """Settings of the daemon. Addresses are ``ip:port``.
 
     ``agent_address`` is the address that agents connect to. ``grace_ms`` is the time from SIGTERM
-    to SIGKILL.
+    to SIGKILL. ``spread_factor`` is the declared place factor of `duration`.
     """
 
     name: str
@@ -63,6 +63,7 @@
     agent_address: str
     metrics_port: int
     grace_ms: float
+    spread_factor: float = 1.0
 
 
 class JobEntry:
@@ -89,7 +90,7 @@
         self._rng = rng
         self._log = log
         self._buffer = buffer
-        self._core = Scheduler(rng)
+        self._core = Scheduler(rng, settings.spread_factor)
         self._task = CoreTask(clock, self._perform, log)
         self._desired = DesiredState(keys)
         self._replies: dict[int, curio.Queue] = {}
@@ -159,6 +160,7 @@
         self.metrics.gauge("lost_runs", lambda: counters.lost_runs)
         self.metrics.gauge("crashing_jobs", lambda: counters.crashing)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
+        self.metrics.gauges("queue_correction", "queue", lambda: core.corrections.items())
 
     def _tick_interval_ms(self) -> float:
         return TICK_MS if self._core.waiting_tasks else RELAXED_TICK_MS
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -37,6 +37,10 @@
     """Time at which a run was last lost."""
     not_before_ms: float = float("-inf")
     """Earliest time of the next start."""
+    near: bool | None = None
+    """Whether the latest run started on the rack of its data; None if the task names no place."""
+    start_slowness: float = 1.0
+    """Slowness of the upstream of the latest run in the report that preceded its start."""
 
     @property
     def resources(self) -> ResourceVector:
--- a/snipewell/matching.py
+++ b/snipewell/matching.py
@@ -61,7 +61,8 @@
     The upstream must not be in ``avoid``, and the expected duration of the task on it must not
     exceed ``max_duration_ms``. With ``require_reserve``, at least `RESERVE_SHARE` of the CPU of the
     upstream must be free. The upstream must not be in ``excluded`` either, even if no other is
-    left.
+    left. ``expected_factor`` is the ratio of the expected duration to the estimate on an ordinary
+    upstream.
     """
 
     step: StepSpec
@@ -69,13 +70,19 @@
     max_duration_ms: float = float("inf")
     require_reserve: bool = False
     excluded: Collection[UpstreamId] = ()
+    expected_factor: float = 1.0
+
+    def ends_in_time(self, candidate: Candidate) -> bool:
+        """Return whether the expected duration on ``candidate`` is short enough."""
+        expected_ms = self.step.estimate_ms * self.expected_factor * candidate.slowness
+        return expected_ms <= self.max_duration_ms
 
     def accepts(self, candidate: Candidate) -> bool:
         """Return whether ``candidate`` meets the requirements."""
         return (
             self.step.resources.fits(candidate.available)
             and (not self.step.label or self.step.label in candidate.view.report.labels)
-            and self.step.estimate_ms * candidate.slowness <= self.max_duration_ms
+            and self.ends_in_time(candidate)
             and candidate.view.upstream not in self.avoid
             and candidate.view.upstream not in self.excluded
             and (not self.require_reserve or candidate.has_reserve())
@@ -130,7 +137,7 @@
         for candidate in self._by_speed:
             if eligible and candidate.slowness > eligible[0].slowness * (1 + SLOWNESS_TOLERANCE):
                 break
-            if requirements.step.estimate_ms * candidate.slowness > requirements.max_duration_ms:
+            if not requirements.ends_in_time(candidate):
                 break
             if requirements.accepts(candidate):
                 eligible.append(candidate)
--- a/snipewell/metrics.py
+++ b/snipewell/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from hdrh.histogram import HdrHistogram
 
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labelled_gauges: dict[str, tuple[str, Callable[[], Iterable[tuple[str, float]]]]] = {}
         self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
         self._sums: dict[tuple[str, Labels], float] = {}
 
@@ -43,6 +44,12 @@
         """Register a gauge whose value is read by calling ``read`` at each scrape."""
         self._gauges[name] = read
 
+    def gauges(
+        self, name: str, label: str, read: Callable[[], Iterable[tuple[str, float]]]
+    ) -> None:
+        """Register a gauge with a label; ``read`` returns its values by the values of the label."""
+        self._labelled_gauges[name] = (label, read)
+
     def observe_ms(self, name: str, value_ms: float, **labels: str) -> None:
         """Record a duration in milliseconds; it is clamped to the range from 0 to one hour."""
         key = (name, tuple(sorted(labels.items())))
@@ -77,6 +84,10 @@
         for name, read in sorted(self._gauges.items()):
             declare(f"snipewell_{name}", "gauge")
             lines.append(f"snipewell_{name} {read():g}")
+        for name, (label, read_all) in sorted(self._labelled_gauges.items()):
+            for of, reading in sorted(read_all()):
+                declare(f"snipewell_{name}", "gauge")
+                lines.append(f"snipewell_{name}{_render_labels(((label, of),))} {reading:g}")
         for (name, labels), histogram in sorted(self._histograms.items()):
             summary_name = f"snipewell_{name}_ms"
             declare(summary_name, "summary")
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -14,6 +14,7 @@
 from .agentsession import AgentSessions
 from .agentview import AgentView
 from .crashes import CrashCounts
+from .duration import DurationModel
 from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import JobRefused, RunEnd, StepSpec
 from .jobqueue import RATE_WINDOW_MS, StartedWorkRate, WaitingJob, plan, retry_after_ms
@@ -57,7 +58,8 @@
     ``start`` is called for each task to start, ``refuse`` for each job to refuse, and ``log`` with
     the text and the fields of each decision to log. ``runs`` holds the runs in progress;
     ``stopping`` the names of tasks with a run that is being stopped, which may not start yet.
-    ``crashes`` tells which tasks are suspects, which are kept apart.
+    ``crashes`` tells which tasks are suspects, which are kept apart, and ``durations`` the expected
+    durations of tasks.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         runs: Mapping[tuple[str, int], Task],
         stopping: Container[str],
         crashes: CrashCounts,
+        durations: DurationModel,
         rng: Random,
         start: Callable[[Task, Candidate, float], None],
         refuse: Callable[[Job, JobRefused, float], None],
@@ -79,6 +82,7 @@
         self._runs = runs
         self._stopping = stopping
         self._crashes = crashes
+        self._durations = durations
         self._rng = rng
         self._start_run = start
         self._refuse = refuse
@@ -169,7 +173,8 @@
         saturated = views and now_ms - self._saturated_since_ms >= MIN_SATURATION_MS
         for name in names:
             job = jobs[name][0].job
-            expired = now_ms + job.timing.chain_ms > job.timing.expiry_ms
+            chain_ms = job.timing.chain_ms * self._durations.correction(job.queue.name)
+            expired = now_ms + chain_ms > job.timing.expiry_ms
             if job.started or not (saturated or expired):
                 continue
             wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
@@ -225,13 +230,19 @@
         """
         job = tasks[0].job
         steps = [job.spec.steps[task.step] for task in tasks]
-        remaining_ms = max(step.estimate_ms for step in steps) * slowness
+        correction = self._durations.correction(job.queue.name)
+        remaining_ms = max(step.estimate_ms for step in steps) * correction * slowness
         if len(job.spec.steps) > 1:
             # The whole critical path, also when some steps are done, and without the slowness.
-            remaining_ms = job.timing.chain_ms
-        work = sum(step.estimate_ms * step.resources.cpu_milli / 1000 for step in steps)
+            remaining_ms = job.timing.chain_ms * correction
+        work = sum(self._estimate_work(job, step) for step in steps)
         return WaitingJob(job.spec.job, job.timing, remaining_ms, work, job.value, job.started)
 
+    def _estimate_work(self, job: Job, step: StepSpec) -> float:
+        """Return the expected work of one task of ``step``, in core-milliseconds."""
+        expected_ms = step.estimate_ms * self._durations.correction(job.queue.name)
+        return expected_ms * step.resources.cpu_milli / 1000
+
     def _start_tasks(
         self,
         tasks: list[Task],
@@ -253,6 +264,7 @@
                 end_by_ms - now_ms,
                 require_reserve,
                 self._find_with_suspects(now_ms) if self.must_run_apart(task, now_ms) else (),
+                self._durations.correction(task.job.queue.name),
             )
             candidate = self._claim_probe(requirements, now_ms) or pool.find(requirements)
             if candidate is not None:
@@ -342,9 +354,9 @@
         )
         return slow.left_ms >= MIN_MOVE_SPEEDUP * elsewhere_ms
 
-    def record_start(self, step: StepSpec, now_ms: float) -> None:
+    def record_start(self, job: Job, step: StepSpec, now_ms: float) -> None:
         """Add the start of a task of ``step`` to the measured rate of started work."""
-        self._rate.add(step.estimate_ms * step.resources.cpu_milli / 1000, now_ms)
+        self._rate.add(self._estimate_work(job, step), now_ms)
 
     def record_run_end(self, task: Task, view: AgentView, how: RunEnd, now_ms: float) -> None:
         """Update the health of the upstream after the end of a run.
--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -48,6 +48,7 @@
         f"{boot.ip}:{boot.first_port}",
         METRICS_PORT,
         boot.grace_ms,
+        boot.spread_factor,
     )
     clock = SystemClock()
     buffer = LogBuffer(sys.stdout.fileno())
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -40,6 +40,9 @@
     """Longest lease that an upstream grants (``bounds.maxHoldMs``)."""
     grace_ms: float
     """Time between SIGTERM and SIGKILL (``bounds.gracePeriodS``)."""
+    spread_factor: float
+    """Ratio of the duration of a task on a rack other than that of its data to its duration there
+    (``bounds.spreadFactor``)."""
     upstream_accepts_calls: bool
     """True if the agent calls the upstream to start and stop runs, false if the upstream polls for
     these orders with its heartbeats (``orders``)."""
@@ -95,6 +98,7 @@
         first_port=int(ports[0]),
         max_lease_ms=get_number("bounds.maxHoldMs", 1_000),
         grace_ms=1_000 * get_number("bounds.gracePeriodS", 6),
+        spread_factor=get_number("bounds.spreadFactor", 1.0),
         upstream_accepts_calls=get_text("orders", "call") == "call",
     )
 
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -10,8 +10,8 @@
 from .runmessage import StartRun
 
 SLOW_FACTOR = 2.0
-"""Ratio of projected to expected duration from which a run is reported as slow. Estimates are
-rarely off by more (clients state durations within about 40%)."""
+"""Ratio of projected to expected duration from which a run is reported as slow. Expected durations
+are rarely off by more (clients state durations within about 40%)."""
 MIN_SLOW_ELAPSED_MS = 100.0
 """Shortest run time after which a run can be reported as slow, because its duration can then be
 projected from its progress."""
@@ -79,6 +79,11 @@
         wait_ms = STOP_REPEAT_MS if in_margin and not self.stop_answered else STOP_RETRY_MS
         return now_ms - self.stop_sent_ms >= wait_ms
 
+    @property
+    def expected_ms(self) -> float:
+        """Duration of the run that its entry expects on an ordinary upstream."""
+        return self.order.estimate_ms * self.order.expected_factor
+
     def projected_duration_ms(self, now_ms: float) -> float:
         """Return the total duration of the run, projected from its progress.
 
@@ -88,7 +93,7 @@
 
     def is_slow(self, now_ms: float) -> bool:
         """Return whether the run will take at least ``SLOW_FACTOR`` times its expected duration."""
-        expected_ms = self.order.estimate_ms
+        expected_ms = self.expected_ms
         early = now_ms - self.start_sent_ms < max(
             MIN_SLOW_ELAPSED_MS, MIN_SLOW_ELAPSED_SHARE * expected_ms
         )
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -124,6 +124,9 @@
     """Number of recent crashes of upstreams under the task. A task with any is a suspect."""
     apart: bool = False
     """Whether the agent rejects the task while another suspect is running."""
+    expected_factor: float = 1.0
+    """Ratio of the expected duration on an ordinary upstream to the client's estimate: the
+    correction of the queue times the place factor."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -24,6 +24,7 @@
 )
 from .agentview import AgentView
 from .crashes import CrashCounts
+from .duration import DurationModel
 from .job import (
     Attempt,
     Catalog,
@@ -123,10 +124,11 @@
     """State machine of all jobs and agent sessions of one entry.
 
     Methods append to ``effects``; the calling code removes the effects and performs them. Call
-    `place` after each batch of events.
+    `place` after each batch of events. ``spread_factor`` is the declared ratio of the duration of a
+    task on a rack other than that of its data to its duration there.
     """
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(self, rng: Random, spread_factor: float = 1.0) -> None:
         self.effects: list[SchedulerEffect] = []
         self.counters = SchedulerCounters()
         self.sessions = AgentSessions(self.effects.append)
@@ -140,12 +142,14 @@
         self._attempts: OrderedDict[str, int] = OrderedDict()
         """Latest attempt numbers of tasks of closed jobs, for a later resubmission."""
         self._crashes = CrashCounts()
+        self._durations = DurationModel.from_settings(spread_factor)
         self._answers: OrderedDict[JobId, tuple[float, JobEnded]] = OrderedDict()
         self._placer = Placer(
             self.sessions,
             self._runs,
             self._stopping,
             self._crashes,
+            self._durations,
             rng,
             self._start_run,
             self._end_job,
@@ -171,6 +175,11 @@
         """Number of tasks that wait for free capacity on an upstream."""
         return len(self._waiting)
 
+    @property
+    def corrections(self) -> Mapping[QueueName, float]:
+        """Correction of the expected durations of each queue that has enough ended runs."""
+        return self._durations.corrections
+
     # Configuration.
 
     def set_catalog(self, catalog: Catalog) -> None:
@@ -476,6 +485,7 @@
         match how:
             case RunEnd.DONE:
                 task.done = True
+                self._record_duration(task, view, ended.elapsed_ms, now_ms)
                 if task.job.step_done(task.step):
                     self._release_steps(task.job, now_ms)
                 return
@@ -507,6 +517,37 @@
                     return
         self._enqueue(task, now_ms)
 
+    def _record_duration(
+        self, task: Task, view: AgentView, elapsed_ms: float, now_ms: float
+    ) -> None:
+        """Add a run that is done to the expected durations of its queue."""
+        job = task.job
+        self._durations.on_done(
+            job.queue.name,
+            job.spec.job,
+            view.upstream,
+            job.spec.steps[task.step].estimate_ms,
+            task.start_slowness,
+            task.near,
+            elapsed_ms,
+            now_ms,
+        )
+        self._log_corrections()
+
+    def _log_corrections(self) -> None:
+        for change in self._durations.changes:
+            self._log(
+                "correction of a queue changed",
+                queue=change.queue,
+                correction=round(change.correction, 2),
+                measured=round(change.measured, 2),
+                common=round(change.common, 2),
+                samples=change.samples,
+                upstreams=change.upstreams,
+                queues=change.queues,
+            )
+        self._durations.changes.clear()
+
     # Placement.
 
     def place(self, now_ms: float) -> None:
@@ -518,16 +559,17 @@
         self.sessions.set_demand(self._placer.demand_cpu_milli, now_ms)
 
     def _start_run(self, task: Task, candidate: Candidate, now_ms: float) -> None:
-        step = task.job.spec.steps[task.step]
+        step, queue = task.job.spec.steps[task.step], task.job.queue.name
         del self._waiting[task.name]
         view = candidate.view
         task.attempt = Attempt(task.attempt + 1)
         task.view = view
+        task.start_slowness = candidate.slowness
         task.job.started = True
         self._runs[task.name, task.attempt] = task
         self.counters.starts += 1
         waited_ms = now_ms - task.waiting_since_ms
-        self._placer.record_start(step, now_ms)
+        self._placer.record_start(task.job, step, now_ms)
         order = StartRun(
             task.name,
             task.attempt,
@@ -536,6 +578,7 @@
             step.estimate_ms,
             self._crashes.count(task.name, now_ms),
             self._placer.must_run_apart(task, now_ms),
+            self._durations.expected_factor(queue, task.near),
         )
         self.sessions.send(view, order, now_ms)
         self._log(
@@ -543,7 +586,9 @@
             task=task.name,
             attempt=task.attempt,
             upstream=view.upstream,
-            expected_ms=round(step.estimate_ms * candidate.slowness),
+            expected_ms=round(
+                self._durations.expected_ms(step, queue, candidate.slowness, task.near)
+            ),
             waited_ms=round(waited_ms),
             free_cpu=view.free.cpu_milli,
             report_age_ms=round(now_ms - view.channel.last_seen_ms),
@@ -560,6 +605,8 @@
             if job.started:
                 self._end_job(job, JobUnknown("the client's time is over"), now_ms)
         self._placer.tick(now_ms)
+        self._durations.tick(now_ms)
+        self._log_corrections()
 
     def _check_stall(self, now_ms: float) -> None:
         gap_ms = 0.0 if self._last_active_ms is None else now_ms - self._last_active_ms
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from snipewell.channel import Channel, session_number
@@ -17,7 +18,6 @@
 from snipewell.executor import (
     IDLE_POLL_MS,
     POLL_RETRY_MS,
-    STALL_MS,
     UPSTREAM_SILENCE_MS,
     Executor,
     LogRecord,
@@ -41,6 +41,7 @@
     UpstreamReport,
     ZoneNotice,
 )
+from snipewell.runspeed import STALL_MS
 from snipewell.upstreamcall import (
     CallHold,
     CallStart,
@@ -126,8 +127,11 @@
         assert self.channel is not None
         self.core.on_frame("entry-1", self.channel.send(None, self.now), self.now)
 
-    def start(self, task: str = "j/0/0", attempt: int = 1, cpu: int = 4_000) -> CallStart:
-        self.send(StartRun(task, attempt, "spec", ResourceVector(cpu, 10), 400.0))
+    def start(
+        self, task: str = "j/0/0", attempt: int = 1, cpu: int = 4_000, factor: float = 1.0
+    ) -> CallStart:
+        order = StartRun(task, attempt, "spec", ResourceVector(cpu, 10), 400.0)
+        self.send(msgspec.structs.replace(order, expected_factor=factor))
         call = self.calls[-1]
         assert isinstance(call, CallStart)
         return call
@@ -977,3 +981,21 @@
     orders = [call for call in harness.calls if isinstance(call, CallStop)]
     assert line["stop_orders"] == len(orders) > 1
     assert harness.core.counters.slow_stops == 1
+
+
+def test_runs_that_take_as_long_as_expected_do_not_make_the_upstream_look_slow(
+    harness: ExecutorHarness,
+) -> None:
+    """Runs far from their data were taken for stalled or slow ones, and their upstream for slow."""
+    for number in range(3):
+        harness.answer(harness.start(f"j/0/{number}", cpu=1_000, factor=5.0))
+    for percent in (30.0, 60.0, 90.0):
+        rows = tuple(RunRow(f"j/0/{number}", 1, percent) for number in range(3))
+        harness.advance(STALL_MS + 100, running=rows)
+    harness.ended += [EndRow(number + 1, f"j/0/{number}", 1, RunEnd.DONE) for number in range(3)]
+    harness.advance(200)
+    assert [end[2] for end in harness.ends()] == ["done"] * 3
+    assert not any(isinstance(body, RunSlow) for body in harness.bodies)
+    assert not any(isinstance(call, CallStop) for call in harness.calls)
+    reports = [body.report for body in harness.bodies if isinstance(body, Report)]
+    assert max(report.slowness for report in reports) < 1.25
--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 from snipewell.agentview import AgentView
@@ -123,3 +124,11 @@
     assert pool(view("u", labels=("a",))).find(TaskRequirements(step)) is None
     assert pool(view("u", 1_999, labels=("b",))).find(TaskRequirements(step)) is None
     assert name_of(pool(view("u", 2_000, labels=("b",))).find(TaskRequirements(step))) == "u"
+
+
+def test_the_expected_duration_decides_where_a_task_ends_too_late() -> None:
+    """A task that takes longer than estimated would be started where it ends too late."""
+    both = pool(view("slow", slowness=3.0), view("fast", 900))
+    corrected = TaskRequirements(STEP, max_duration_ms=1_799.0, expected_factor=2.0)
+    assert both.find(corrected) is None
+    assert name_of(both.find(replace(corrected, max_duration_ms=1_800.0))) == "slow"
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -13,10 +13,12 @@
     metrics.count("outcomes", outcome='od"d\n')
     metrics.count("outcomes", 2, outcome='od"d\n')
     metrics.gauge("agents", lambda: 3)
+    metrics.gauges("corrections", "queue", lambda: [("a", 1.5)])
     metrics.observe_ms("request", 0.25)
     lines = metrics.render().splitlines()
     assert 'snipewell_outcomes_total{outcome="od\\"d\\n"} 3' in lines
     assert "snipewell_agents 3" in lines
+    assert 'snipewell_corrections{queue="a"} 1.5' in lines
     assert "# TYPE snipewell_request_ms summary" in lines
     assert "snipewell_request_ms_count 1" in lines
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -140,6 +140,8 @@
     boot = parse_boot_settings(BOOT_SETTINGS)
     assert (boot.name, boot.zone, boot.first_port) == ("side-1", "patan", 7720)
     assert (boot.max_lease_ms, boot.grace_ms) == (1_000.0, 6_000.0)
+    assert boot.spread_factor == 1.0
+    assert parse_boot_settings(f"{BOOT_SETTINGS}\nbounds.spreadFactor=2").spread_factor == 2.0
 
 
 @pytest.mark.parametrize(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 from snipewell.agentsession import SendAgent
 from snipewell.channel import Channel
 from snipewell.crashes import MAX_CRASHES
+from snipewell.duration import MIN_JOBS
 from snipewell.ids import ServiceName
 from snipewell.job import (
     Catalog,
@@ -544,3 +545,31 @@
     harness.core.submit(99, queue, spec, 1_000.0, harness.now)
     harness.perform_effects()
     assert isinstance(harness.answers[99][0], JobRefused)
+
+
+def test_the_correction_of_a_queue_reaches_the_agents_and_the_plan() -> None:
+    """Tasks that take twice as long as estimated were started where they end too late."""
+    harness = Harness(agents=4)
+    for number in range(MIN_JOBS):
+        harness.submit(f"j{number}", estimate=50.0)
+    for agent in harness.agents.values():
+        for run in agent.starts:
+            agent.end(run)
+    (fields,) = [
+        record.fields
+        for record in harness.log_records
+        if record.text == "correction of a queue changed"
+    ]
+    assert fields["queue"] == "q"
+    assert (fields["correction"], fields["samples"], fields["upstreams"]) == (2.0, MIN_JOBS, 4)
+    assert harness.core.corrections == {"q": 2.0}
+    for agent in harness.agents.values():
+        agent.starts.clear()
+        agent.change(free=ResourceVector(2_000, 100))
+    # Its due time is 700 ms away and its expected duration 800 ms, so it counts as late and waits
+    # for a reserve. By the estimate alone, it would be started as timely.
+    harness.submit("late", estimate=400.0)
+    assert not any(agent.starts for agent in harness.agents.values())
+    harness.agents["a0"].change(free=ResourceVector(10_000, 100))
+    (order,) = harness.agents["a0"].starts
+    assert (order.estimate_ms, order.expected_factor) == (400.0, 2.0)
