--- a/snipewell/departure.py
+++ b/snipewell/departure.py
@@ -10,10 +10,13 @@
 from dataclasses import dataclass
 from statistics import median_low
 
+from .agentview import AgentView
 from .ids import UpstreamId
 from .job import ResourceVector
+from .jobstate import Task
 from .matching import Candidate
 from .run import MIN_SLOW_ELAPSED_MS, MIN_SLOW_ELAPSED_SHARE
+from .runmessage import RunSlow
 from .upstreamcall import Upstream
 
 STOP_MS = 60.0
@@ -55,6 +58,21 @@
     resources: ResourceVector
     is_movable: bool
 
+    @classmethod
+    def from_report(
+        cls, task: Task, view: AgentView, slow: RunSlow, is_movable: bool
+    ) -> LeavingRun:
+        """Return the run of ``task`` that the agent of ``view`` has reported."""
+        return cls(
+            task.name,
+            slow.elapsed_ms + slow.left_ms,
+            slow.left_ms,
+            slow.departure_in_ms,
+            view.report.slowness,
+            task.resources,
+            is_movable,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Outlook:
--- a/snipewell/directory.py
+++ b/snipewell/directory.py
@@ -30,13 +30,15 @@
 class EntryAddress(msgspec.Struct, frozen=True):
     """An entry's registration: its name, and the ``ip:port`` where agents connect.
 
-    ``zone`` is empty in a registration that an earlier version wrote.
+    ``zone`` is empty in a registration that an earlier version wrote. ``wide`` asks agents beyond
+    those of its subsets for sessions (`reach`).
     """
 
     entry: str
     address: str
     incarnation: str
     zone: str = ""
+    wide: bool = False
 
 
 def encode_address(address: EntryAddress) -> bytes:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -36,6 +36,7 @@
 from .log import Log
 from .logbuffer import LogBuffer
 from .metrics import Metrics
+from .reach import select_wide
 from .runmessage import EntryFrame, decode_entry_frame, encode_frame
 from .server import HttpServer, ServerLimits
 from .store import Changes, Listing, Watchable
@@ -128,6 +129,8 @@
             self._on_connection_end,
             notify_open=self._on_connection_open,
         )
+        self._wide: set[str] = set()
+        """Wide entries that were last selected beyond the subset."""
         self._entries_changed = curio.Event()
         self._hold_outstanding = False
         self._next_hold_at_ms = 0.0
@@ -259,7 +262,8 @@
                 {name: entry.zone for name, entry in entries.items()},
                 self._core.entries.find_failed(now_ms),
             )
-            for name in sorted(subset):
+            self._select_wide(entries, subset)
+            for name in sorted(subset | self._wide):
                 await self._connect(entries[name])
             await self._leave_surplus(entries, subset)
             for name in self._connections.peers().keys() - self._core.entries.peers():
@@ -269,6 +273,22 @@
             self._entries_changed.clear()
             await curio.ignore_after(RECONCILE_INTERVAL_MS / 1000, self._entries_changed.wait)
 
+    def _select_wide(self, entries: Mapping[str, EntryAddress], subset: Collection[str]) -> None:
+        """Select the wide entries beyond ``subset``, and log a change of the selection."""
+        wide = {name for name, entry in entries.items() if entry.wide}
+        connected = self._core.entries.peers()
+        selected = select_wide(self._settings.name, subset, wide, connected)
+        if selected != self._wide:
+            self._log.info(
+                "entries",
+                "wide entries selected",
+                added=sorted(selected - self._wide),
+                dropped=sorted(self._wide - selected),
+                wide=len(wide),
+                sessions=len(connected),
+            )
+        self._wide = selected
+
     async def _connect(self, entry: EntryAddress) -> None:
         """Keep a connection to ``entry``, and a session on it."""
         name = entry.entry
@@ -295,7 +315,7 @@
             await self._task.call(sessions.disconnect, name)
         # An entry that lost its registration alone, during an outage of the store, stays.
         registered = connected & entries.keys()
-        for name in find_surplus(registered, subset, responsive):
+        for name in find_surplus(registered, subset, responsive, self._wide):
             self._log.info("entries", "entry left the subset", entry=name, sessions=len(connected))
             await self._task.call(self._core.leave_entry, name)
 
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -31,7 +31,7 @@
 from .logbuffer import LogBuffer
 from .metrics import Metrics
 from .runmessage import AgentFrame, decode_agent_frame, encode_frame
-from .scheduler import Answer, LogRecord, Scheduler
+from .scheduler import Answer, LogRecord, Scheduler, SetWide
 from .server import HttpServer, ServerLimits
 from .store import Changes, Listing
 from .storetask import LeasedStore, Registration, watch_prefix
@@ -96,6 +96,7 @@
         self._requests = 0
         self._stopping = False
         self._agents: StreamServer | None = None
+        self._registration: Registration | None = None
         self._declare_metrics()
 
     @property
@@ -157,6 +158,7 @@
         self.metrics.gauge("starts", lambda: counters.starts)
         self.metrics.gauge("rejected_starts", lambda: counters.rejected_starts)
         self.metrics.gauge("lost_runs", lambda: counters.lost_runs)
+        self.metrics.gauge("wide", lambda: int(core.is_wide))
         self.metrics.gauge("leaving_moves", lambda: counters.leaving_moves)
         self.metrics.gauge("crashing_jobs", lambda: counters.crashing)
         self.metrics.gauge("dropped_log_lines", lambda: self._buffer.dropped)
@@ -179,6 +181,8 @@
                     reply = self._replies.get(effect.request)
                     if reply is not None:
                         await reply.put(effect.outcome)
+                case SetWide() if self._registration is not None:
+                    await self._registration.set_wide(effect.wide)
                 case LogRecord():
                     self._log.info("scheduler", effect.text, **effect.fields)
 
@@ -222,6 +226,7 @@
         )
         address = EntryAddress(settings.name, self._agents.address, incarnation, settings.zone)
         registration = Registration(self._store, address, self._clock, self._log, self._rng)
+        self._registration = registration
         clients = HttpServer(handle, client_limits, self._on_error)
         readiness = HttpServer(handle_readiness, ServerLimits(connections=64))
         tasks = [
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -21,6 +21,7 @@
 from .jobstate import Job, Task
 from .matching import Candidate, CandidatePool, TaskRequirements, may_run
 from .outlier import Health, OutlierDetector
+from .reach import Shortage, measure_shortage
 from .runmessage import RunSlow
 
 MIN_SATURATION_MS = 300.0
@@ -76,6 +77,8 @@
         self.demand_cpu_milli = 0
         """CPU needed by the waiting tasks of timely jobs and of late jobs that have started, in
         thousandths of a core."""
+        self.shortage = Shortage()
+        """What the last round left waiting."""
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
@@ -101,6 +104,7 @@
         if not waiting:
             self._saturated_since_ms = float("inf")
             self.demand_cpu_milli = 0
+            self.shortage = Shortage()
             return
         if now_ms < self._next_round_ms:
             return
@@ -111,6 +115,7 @@
                 jobs = by_service.setdefault(task.job.queue.service, {})
                 jobs.setdefault(task.job.spec.job, []).append(task)
         self.demand_cpu_milli = 0
+        self.shortage = Shortage()
         for service, jobs in by_service.items():
             self._place_service(service, jobs, now_ms)
         pause_ms = ROUND_PAUSE_PER_TASK_MS * max(0, len(waiting) - TASKS_WITHOUT_PAUSE)
@@ -148,6 +153,8 @@
         for name in [*planned.late, *planned.infeasible]:
             rest = [task for task in jobs[name] if task.view is None]
             self._start_tasks(rest, pool, now_ms, require_reserve=True)
+        missed = [*planned.late, *planned.infeasible]
+        self.shortage = self.shortage.plus(measure_shortage(missed, jobs, views))
         if planned.infeasible:
             # The round may follow the first report of an upstream, before the next tick.
             self._check_capacity_growth(now_ms)
@@ -345,15 +352,7 @@
     ) -> Move | Stay:
         """Decide whether to stop a run that is projected to outlast its upstream's departure."""
         usable = self._find_usable(task.job.queue.service, now_ms)
-        run = LeavingRun(
-            task.name,
-            slow.elapsed_ms + slow.left_ms,
-            slow.left_ms,
-            slow.departure_in_ms,
-            view.report.slowness,
-            task.resources,
-            task.moves < MAX_MOVES,
-        )
+        run = LeavingRun.from_report(task, view, slow, task.moves < MAX_MOVES)
         elsewhere = self._find_elsewhere(task, view, usable)
         return self._departures.decide(run, elsewhere, self.demand_cpu_milli)
 
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -43,6 +43,7 @@
 from .jobstate import Job, Task
 from .matching import Candidate, may_run
 from .placer import Placer
+from .reach import Narrow, ReachDecision, Widen
 from .runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
@@ -98,7 +99,14 @@
     fields: Mapping[str, object]
 
 
-SchedulerEffect = SendAgent | Answer | LogRecord
+@dataclass(frozen=True, slots=True)
+class SetWide:
+    """Effect that writes to the entry's registration whether it is wide."""
+
+    wide: bool
+
+
+SchedulerEffect = SendAgent | Answer | LogRecord | SetWide
 
 
 @dataclass(slots=True)
@@ -154,6 +162,7 @@
             self._end_job,
             self._log,
         )
+        self._reach = ReachDecision()
         self._arrivals = RecentArrivals()
         self._last_active_ms: float | None = None
         """Time of the last call of `place` or `tick`."""
@@ -174,6 +183,11 @@
         """Number of tasks that wait for free capacity on an upstream."""
         return len(self._waiting)
 
+    @property
+    def is_wide(self) -> bool:
+        """Whether this entry asks further agents for sessions."""
+        return self._reach.is_wide
+
     # Configuration.
 
     def set_catalog(self, catalog: Catalog) -> None:
@@ -553,8 +567,32 @@
         self._check_stall(now_ms)
         if now_ms >= self._paused_until_ms:
             self._placer.place(self._waiting, now_ms)
+            self._decide_reach(now_ms)
         self.sessions.set_demand(self._placer.demand_cpu_milli, now_ms)
 
+    def _decide_reach(self, now_ms: float) -> None:
+        """Ask further agents for sessions if those of this entry lack capacity, or stop that."""
+        decision = self._reach.update(self._placer.shortage, bool(self._waiting), now_ms)
+        match decision:
+            case Widen():
+                self._log(
+                    "entry becomes wide",
+                    waiting_work_ms=round(decision.shortage.waiting_work),
+                    room_cpu=decision.shortage.room_cpu_milli,
+                    missed=decision.shortage.missed,
+                    short_ms=round(decision.short_ms),
+                    agents=len(self.sessions.views()),
+                )
+            case Narrow():
+                self._log(
+                    "entry no longer wide",
+                    waiting_tasks=len(self._waiting),
+                    quiet_ms=round(decision.quiet_ms),
+                    agents=len(self.sessions.views()),
+                )
+        if decision is not None:
+            self.effects.append(SetWide(self._reach.is_wide))
+
     def _start_run(self, task: Task, candidate: Candidate, now_ms: float) -> None:
         step = task.job.spec.steps[task.step]
         del self._waiting[task.name]
@@ -612,6 +650,7 @@
         jobs to another entry.
         """
         self._paused_until_ms = now_ms + STALL_RECOVERY_PAUSE_MS
+        self._reach.reset()
         self._log("process stalled; pausing starts", gap_ms=round(gap_ms))
 
     def _log(self, text: str, **fields: object) -> None:
--- a/snipewell/storetask.py
+++ b/snipewell/storetask.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import curio
+from msgspec.structs import replace
 
 from .clock import Clock
 from .directory import (
@@ -17,6 +18,7 @@
     encode_address,
 )
 from .log import Log
+from .reach import MIN_WRITE_INTERVAL_MS
 from .store import Changes, Listing, PrefixWatcher, StoreUnreachableError, Watchable
 
 WATCH_WAIT_MS = 2_000.0
@@ -76,14 +78,21 @@
 
 
 class Registration:
-    """Registration of an entry in the store, under a lease that is renewed."""
+    """Registration of an entry in the store, under a lease that is renewed.
+
+    A changed registration is written again under the same lease.
+    """
 
     def __init__(
         self, store: LeasedStore, address: EntryAddress, clock: Clock, log: Log, rng: Random
     ) -> None:
         self._store = store
         self._key = JOB_ENTRIES_PREFIX + address.entry
-        self._value = encode_address(address)
+        self._address = address
+        self._stored: EntryAddress | None = None
+        """Registration that was last written with success."""
+        self._written_ms = float("-inf")
+        """Time of the last attempt to write, since a write without an answer may have succeeded."""
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -94,15 +103,21 @@
     async def run(self) -> None:
         """Register, renew the lease, and register again when it has expired."""
         while True:
+            # Cleared first, so that a change during the calls leads to the next ones at once.
+            self._wake.clear()
             try:
                 await self._renew_or_register()
             except StoreUnreachableError as error:
                 self._log.info("store", "registration not renewed", reason=str(error))
                 await curio.sleep(self._rng.uniform(*RETRY_MS) / 1000)
             else:
-                self._wake.clear()
                 await curio.ignore_after(RENEW_INTERVAL_MS / 1000, self._wake.wait)
 
+    async def set_wide(self, wide: bool) -> None:
+        """Change whether the entry is registered as wide; wake `run` to write it."""
+        self._address = replace(self._address, wide=wide)
+        await self._wake.set()
+
     async def on_own_key(self, update: Listing | Changes) -> None:
         """Wake `run` to register again if the key was deleted, possibly under a valid lease."""
         if isinstance(update, Listing):
@@ -117,13 +132,26 @@
 
     async def _renew_or_register(self) -> None:
         if self._registered and await self._store.renew(self._lease):
-            return
+            now_ms = self._clock.now_ms()
+            if self._address == self._stored or now_ms - self._written_ms < MIN_WRITE_INTERVAL_MS:
+                return
+            if await self._write(self._lease):
+                return
         self._registered = False
         lease = await self._store.lease(LEASE_MS)
-        if await self._store.put(self._key, self._value, lease):
+        if await self._write(lease):
             self._lease = lease
             self._registered = True
-            self._log.info("store", "registered", key=self._key)
+
+    async def _write(self, lease: str) -> bool:
+        """Write the registration under ``lease``; return False if the lease has expired."""
+        address = self._address
+        self._written_ms = self._clock.now_ms()
+        if not await self._store.put(self._key, encode_address(address), lease):
+            return False
+        self._stored = address
+        self._log.info("store", "registered", key=self._key, wide=address.wide)
+        return True
 
     async def withdraw(self) -> None:
         """Revoke the lease, so that the registration ends at once instead of at its expiry."""
--- a/snipewell/subset.py
+++ b/snipewell/subset.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -47,7 +47,7 @@
 def _select(agent: str, zone: str, entry_zones: Mapping[str, str]) -> set[str]:
     if len(entry_zones) <= SUBSET_SIZE:
         return set(entry_zones)
-    ranked = sorted(entry_zones, key=lambda entry: _weigh(agent, entry), reverse=True)
+    ranked = rank_entries(agent, entry_zones)
     local = [entry for entry in ranked if entry_zones[entry] == zone]
     selected = local[: round(LOCAL_SHARE * SUBSET_SIZE)]
     remote = [entry for entry in ranked if entry_zones[entry] != zone]
@@ -60,6 +60,11 @@
     return {*selected, *rest[: SUBSET_SIZE - len(selected)]}
 
 
+def rank_entries(agent: str, entries: Iterable[str]) -> list[str]:
+    """Return ``entries`` in the order in which ``agent`` prefers them, by rendezvous hashing."""
+    return sorted(entries, key=lambda entry: _weigh(agent, entry), reverse=True)
+
+
 def _weigh(agent: str, entry: str) -> int:
     return int(xxhash.xxh64_intdigest(f"{agent}\0{entry}".encode()))
 
@@ -76,15 +81,21 @@
 
 
 def find_surplus(
-    connected: Collection[str], subset: Collection[str], responsive: Collection[str]
+    connected: Collection[str],
+    subset: Collection[str],
+    responsive: Collection[str],
+    wide: Collection[str] = (),
 ) -> list[str]:
     """Return the connected entries whose sessions should be closed because the subset has changed.
 
+    ``wide`` holds the entries beyond ``subset`` that are selected as well (`reach`). They don't
+    count as substitutes of the subset.
+
     Entries outside ``subset`` are kept until as many of the subset are ``responsive`` as it has
     places, so that the agent isn't left without an entry while several fail; beyond `MAX_SESSIONS`
     they are closed in any case.
     """
-    outside = sorted(entry for entry in connected if entry not in subset)
+    outside = sorted(entry for entry in connected if entry not in {*subset, *wide})
     working = sum(entry in responsive for entry in subset)
     if working >= min(SUBSET_SIZE, len(subset)):
         return outside
