--- a/snipewell/subset.py
+++ b/snipewell/subset.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -67,9 +67,10 @@
     if zone not in in_service:
         return set()
     places = -(-round(LOCAL_SHARE * SUBSET_SIZE) // len(in_service))
-    ranked = sorted(entry_zones, key=lambda entry: _weigh(agent, entry), reverse=True)
     displaced = [
-        entry for entry in ranked if entry_zones[entry] in zones_out and entry not in subset
+        entry
+        for entry in rank_entries(agent, entry_zones)
+        if entry_zones[entry] in zones_out and entry not in subset
     ]
     selected = _limit_per_zone(displaced, entry_zones, places)
     return set(selected[: max(0, MAX_SESSIONS - len(subset))])
@@ -78,7 +79,7 @@
 def _select(agent: str, zone: str, entry_zones: Mapping[str, str]) -> set[str]:
     if len(entry_zones) <= SUBSET_SIZE:
         return set(entry_zones)
-    ranked = sorted(entry_zones, key=lambda entry: _weigh(agent, entry), reverse=True)
+    ranked = rank_entries(agent, entry_zones)
     local = [entry for entry in ranked if entry_zones[entry] == zone]
     selected = local[: round(LOCAL_SHARE * SUBSET_SIZE)]
     remote = [entry for entry in ranked if entry_zones[entry] != zone]
@@ -91,6 +92,11 @@
     return {*selected, *rest[: SUBSET_SIZE - len(selected)]}
 
 
+def rank_entries(agent: str, entries: Iterable[str]) -> list[str]:
+    """Return ``entries`` in the order in which ``agent`` prefers them, by rendezvous hashing."""
+    return sorted(entries, key=lambda entry: _weigh(agent, entry), reverse=True)
+
+
 def _weigh(agent: str, entry: str) -> int:
     return int(xxhash.xxh64_intdigest(f"{agent}\0{entry}".encode()))
 
@@ -107,15 +113,21 @@
 
 
 def find_surplus(
-    connected: Collection[str], subset: Collection[str], responsive: Collection[str]
+    connected: Collection[str],
+    subset: Collection[str],
+    responsive: Collection[str],
+    wide: Collection[str] = (),
 ) -> list[str]:
     """Return the connected entries whose sessions should be closed because the subset has changed.
 
+    ``wide`` holds the entries beyond ``subset`` that are selected as well (`reach`). They don't
+    count as substitutes of the subset.
+
     Entries outside ``subset`` are kept until as many of the subset are ``responsive`` as it has
     places, so that the agent isn't left without an entry while several fail; beyond `MAX_SESSIONS`
     they are closed in any case.
     """
-    outside = sorted(entry for entry in connected if entry not in subset)
+    outside = sorted(entry for entry in connected if entry not in {*subset, *wide})
     working = sum(entry in responsive for entry in subset)
     if working >= min(SUBSET_SIZE, len(subset)):
         return outside
