--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -8,12 +8,14 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
+from snipewell.channel import Frame
 from snipewell.departure import projected_rest_ms, time_left_ms
 from snipewell.job import ResourceVector, RunEnd
 from snipewell.platform.upstream import decode_heartbeat
-from snipewell.runmessage import RunSlow, StartRun
+from snipewell.runmessage import RunSlow, StartRun, decode_agent_frame, encode_frame
 from snipewell.upstreamcall import RunRow
 
 from .test_executor import UPSTREAM, ExecutorHarness
@@ -84,6 +86,25 @@
     assert projected_rest_ms(300.0, 1.0, ESTIMATE_MS) == 14_700.0
 
 
+class EarlierRunSlow(msgspec.Struct, tag="slow", frozen=True):
+    """The message as an earlier version declares it."""
+
+    task: str
+    attempt: int
+    elapsed_ms: float
+    left_ms: float
+
+
+def test_processes_of_an_earlier_version_understand_the_notice() -> None:
+    """Guards against connections that end during an update of the fleet."""
+    notice = Frame("s", 1, 0, 0.0, RunSlow("j/0/0", 1, 100.0, 500.0, True, 900.0))
+    earlier = Frame("s", 1, 0, 0.0, EarlierRunSlow("j/0/0", 1, 100.0, 500.0))
+    decoded = msgspec.msgpack.decode(encode_frame(notice), type=Frame[EarlierRunSlow])
+    assert decoded == earlier
+    received = decode_agent_frame(msgspec.msgpack.encode(earlier))
+    assert received.body == RunSlow("j/0/0", 1, 100.0, 500.0)
+
+
 def test_a_run_of_the_tail_is_moved_once() -> None:
     """Guards against the loss of a run, and against a move that counts twice."""
     harness = Harness()
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -18,6 +18,7 @@
 from snipewell.directory import (
     ABSENT_RETENTION_MS,
     JOB_ENTRIES_PREFIX,
+    Directory,
     EntryAddress,
     encode_address,
 )
@@ -330,3 +331,11 @@
                 await task.cancel()
 
     curio.run(main)
+
+
+def test_a_registration_of_an_earlier_version_is_not_wide() -> None:
+    """Guards against agents that can't read the registrations during an update of the fleet."""
+    directory = Directory()
+    value = b'{"entry":"e1","address":"127.0.0.1:1","incarnation":"i","zone":"z1"}'
+    directory.apply(Changes(0.0, Revision(1), [Change("k", Revision(1), value, False)]), 0.0)
+    assert not directory.entries(0.0)["e1"].wide
