--- a/snipewell/departure.py
+++ b/snipewell/departure.py
@@ -22,6 +22,8 @@
 STOP_MS = 60.0
 """Time from the decision to stop a run to its next start elsewhere: slightly more than the
 upstream's ``stopGraceMs``."""
+MIN_SLOWNESS = 0.1
+"""Least slowness that an agent reports, as a bound for malformed reports."""
 
 
 def time_left_ms(upstream: Upstream, now_ms: float) -> float | None:
@@ -57,10 +59,18 @@
     slowness: float
     resources: ResourceVector
     is_movable: bool
+    is_restart_useful: bool = True
+    """Whether the job can still end by its expiry time if the task starts again now. Late work
+    starts only on upstreams with a reserve, so the task might not start at all otherwise."""
 
     @classmethod
     def from_report(
-        cls, task: Task, view: AgentView, slow: RunSlow, is_movable: bool
+        cls,
+        task: Task,
+        view: AgentView,
+        slow: RunSlow,
+        is_movable: bool,
+        is_restart_useful: bool,
     ) -> LeavingRun:
         """Return the run of ``task`` that the agent of ``view`` has reported."""
         return cls(
@@ -71,12 +81,13 @@
             view.report.slowness,
             task.resources,
             is_movable,
+            is_restart_useful,
         )
 
 
 @dataclass(frozen=True, slots=True)
 class Outlook:
-    """Inputs of a decision, for the log; the ends are durations from now, None without a place."""
+    """Inputs of a decision, for the log; the ends are durations from now, None without room."""
 
     elsewhere_in_ms: float | None
     """Expected end if the run is stopped now."""
@@ -125,17 +136,21 @@
         with_room = [
             each for each in elsewhere if run.resources.fits(available[each.view.upstream])
         ]
-        nominal_ms = run.duration_ms / run.slowness
+        nominal_ms = run.duration_ms / max(MIN_SLOWNESS, run.slowness)
         # Which upstreams will have room at the departure is unknown, so the median stands for them.
-        usual = median_low([each.slowness for each in elsewhere]) if elsewhere else None
+        median_slowness = median_low([each.slowness for each in elsewhere]) if elsewhere else None
         best = min(with_room, key=lambda each: each.slowness, default=None)
         now_in_ms = None if best is None else STOP_MS + nominal_ms * best.slowness
-        later_in_ms = None if usual is None else run.time_left_ms + nominal_ms * usual
+        later_in_ms = (
+            None if median_slowness is None else run.time_left_ms + nominal_ms * median_slowness
+        )
         outlook = Outlook(_round(now_in_ms), _round(later_in_ms), room)
         if run.rest_ms <= run.time_left_ms:
             return Stay("it ends before the departure", outlook)
         if not run.is_movable:
             return Stay("moved too often", outlook)
+        if not run.is_restart_useful:
+            return Stay("too late to start again", outlook)
         if best is None or room < run.resources.cpu_milli:
             return Stay("no room elsewhere", outlook)
         if now_in_ms is None or later_in_ms is None or now_in_ms >= later_in_ms:
--- a/snipewell/duration.py
+++ b/snipewell/duration.py
@@ -22,7 +22,10 @@
 MAX_RUNS_PER_JOB = 8
 """Maximum number of runs of one job of which the durations are stored."""
 MIN_JOBS = 8
-"""Number of jobs from which a correction or a place factor is measured."""
+"""Number of near and of far jobs from which a place factor is measured."""
+MIN_CORRECTED_JOBS = 24
+"""Number of jobs from which a correction is measured. With estimates off by up to 0.4, fewer jobs
+of a queue with fair estimates are at times off by more than `FAIR_DEVIATION`."""
 MIN_UPSTREAMS = 4
 """Number of upstreams from which a correction is measured, so that it isn't that of an upstream."""
 FAIR_DEVIATION = 0.25
@@ -31,6 +34,8 @@
 MAX_CORRECTION = 4.0
 SAMPLE_LIFETIME_MS = 60_000.0
 """Age at which the sample of a job expires."""
+UPDATE_INTERVAL_MS = 100.0
+"""Interval between two updates of the corrections, each of which sorts the samples."""
 MAX_QUEUES = 256
 """Maximum number of queues with samples; the least recently used one is evicted."""
 MIN_LOGGED_CHANGE = 0.1
@@ -94,7 +99,7 @@
         """Return the bounded correction beyond the factor ``common`` to all queues.
 
         It is 1.0 unless three quarters of the jobs are off in the same direction: estimates are off
-        by up to 0.4 for each job, so the median of 8 jobs of a fair queue is often off by 0.25.
+        by up to 0.4 for each job, so the median of a fair queue is at times off by 0.25.
         """
         if self.low <= common <= self.high or _is_fair(self.median / common):
             return 1.0
@@ -126,9 +131,9 @@
             del self._jobs[oldest]
         return len(self._jobs) < before
 
-    def measure(self) -> _Spread | None:
-        """Return the median and quartiles of the jobs; None with fewer than `MIN_JOBS`."""
-        if len(self._jobs) < MIN_JOBS:
+    def measure(self, min_jobs: int) -> _Spread | None:
+        """Return the median and quartiles of the jobs; None with fewer than ``min_jobs``."""
+        if len(self._jobs) < min_jobs:
             return None
         values = sorted(sample.median for sample in self._jobs.values())
         quarter = len(values) // 4
@@ -160,8 +165,8 @@
     def measure(self, max_place_factor: float) -> None:
         """Update the measured figures from the samples."""
         enough = self.all.count_upstreams() >= MIN_UPSTREAMS
-        self.measured = self.all.measure() if enough else None
-        near, far = self.near.measure(), self.far.measure()
+        self.measured = self.all.measure(MIN_CORRECTED_JOBS) if enough else None
+        near, far = self.near.measure(MIN_JOBS), self.far.measure(MIN_JOBS)
         self.place_factor = None
         if near is not None and far is not None:
             self.place_factor = min(max(far.median / near.median, 1.0), max_place_factor)
@@ -171,7 +176,7 @@
     """Expected durations of the tasks of one entry.
 
     For example, if the tasks of a queue take twice as long as estimated and those of other queues
-    don't, the correction of the queue becomes 2.0 after `MIN_JOBS` jobs.
+    don't, the correction of the queue becomes 2.0 after `MIN_CORRECTED_JOBS` jobs.
     """
 
     def __init__(self, spread_factor: float) -> None:
@@ -180,6 +185,9 @@
         self._spread_factor = spread_factor
         self._queues: OrderedDict[QueueName, _QueueSamples] = OrderedDict()
         self._corrections: dict[QueueName, float] = {}
+        self._changed: set[QueueName] = set()
+        """Queues with samples since the last update of the corrections."""
+        self._updated_ms = float("-inf")
         self._slowness: deque[float] = deque(maxlen=MAX_JOBS)
         """Slowness of the upstreams of the latest runs of all queues."""
 
@@ -243,16 +251,22 @@
         place_factor = self.place_factor(queue) if near is False else 1.0
         samples.all.add(job, upstream, ratio / place_factor, now_ms)
         self._slowness.append(slowness)
-        samples.expire(now_ms)
-        samples.measure(max(MAX_CORRECTION, self._spread_factor))
-        self._update_corrections()
+        self._changed.add(queue)
 
     def tick(self, now_ms: float) -> None:
-        """Remove expired samples."""
-        expired = [samples for samples in self._queues.values() if samples.expire(now_ms)]
-        for samples in expired:
+        """Update the corrections from new samples and remove expired ones, if that is due."""
+        if now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+            return
+        self._updated_ms = now_ms
+        changed = [
+            samples
+            for queue, samples in self._queues.items()
+            if samples.expire(now_ms) or queue in self._changed
+        ]
+        self._changed.clear()
+        for samples in changed:
             samples.measure(max(MAX_CORRECTION, self._spread_factor))
-        if expired:
+        if changed:
             self._update_corrections()
 
     def _update_corrections(self) -> None:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -256,6 +256,8 @@
     async def _reconcile_connections(self) -> None:
         """Reconcile the connections and sessions with the registered entries."""
         while True:
+            # Cleared first, so that a change during the calls leads to another round at once.
+            self._entries_changed.clear()
             now_ms = self._clock.now_ms()
             entries = self._directory.entries(now_ms)
             subset = select_entries(
@@ -273,7 +275,6 @@
                 await self._connections.disconnect(name)
             for name in self._core.entries.take_timed_out():
                 await self._connections.replace(name)
-            self._entries_changed.clear()
             await curio.ignore_after(RECONCILE_INTERVAL_MS / 1000, self._entries_changed.wait)
 
     def _select_wide(self, entries: Mapping[str, EntryAddress], subset: Collection[str]) -> None:
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -14,7 +14,7 @@
 from .agentsession import AgentSessions
 from .agentview import AgentView
 from .crashes import CrashCounts
-from .departure import DepartureMoves, LeavingRun, Move, Stay
+from .departure import STOP_MS, DepartureMoves, LeavingRun, Move, Stay
 from .duration import DurationModel
 from .ids import ScopedKey, ServiceName, UpstreamId
 from .job import JobRefused, RunEnd, StepSpec
@@ -242,8 +242,11 @@
         correction = self._durations.correction(job.queue.name)
         remaining_ms = max(step.estimate_ms for step in steps) * correction * slowness
         if len(job.spec.steps) > 1:
-            # The whole critical path, also when some steps are done, and without the slowness.
-            remaining_ms = job.timing.chain_ms * correction
+            # The whole critical path, also when some steps are done. The slowness counts only
+            # beside a correction, which was measured relative to it.
+            remaining_ms = job.timing.chain_ms * (
+                1.0 if correction == 1.0 else correction * slowness
+            )
         work = sum(self._estimate_work(job, step) for step in steps)
         return WaitingJob(job.spec.job, job.timing, remaining_ms, work, job.value, job.started)
 
@@ -364,7 +367,9 @@
     ) -> Move | Stay:
         """Decide whether to stop a run that is projected to outlast its upstream's departure."""
         usable = self._find_usable(task.job.queue.service, now_ms)
-        run = LeavingRun.from_report(task, view, slow, task.moves < MAX_MOVES)
+        rest = self._summarize_job([task], _median([each.report.slowness for each in usable]))
+        is_restart_useful = rest.latest_useful_start_ms() >= now_ms + STOP_MS
+        run = LeavingRun.from_report(task, view, slow, task.moves < MAX_MOVES, is_restart_useful)
         elsewhere = self._find_elsewhere(task, view, usable)
         return self._departures.decide(run, elsewhere, self.demand_cpu_milli)
 
--- a/snipewell/reach.py
+++ b/snipewell/reach.py
@@ -20,6 +20,8 @@
 QUIET_MS = 10_000.0
 """Time without shortage after which an entry is no longer wide: longer than the bursts of demand,
 which last a few seconds."""
+MAX_QUIET_MS = 160_000.0
+"""Upper bound of that time, which doubles each time an entry becomes wide again soon after."""
 MIN_WRITE_INTERVAL_MS = 3_000.0
 """Shortest interval between two changes, each of which is a write to the store and an update for
 all agents."""
@@ -32,9 +34,10 @@
 class Shortage:
     """What a placement round has left waiting.
 
-    ``missed`` is the number of waiting jobs that can't start by their latest start. The other
-    fields are set only if there are any: the waiting work in core-milliseconds, the free CPU of the
-    usable upstreams, and the most sessions that an agent of theirs has reported.
+    ``missed`` is the number of waiting jobs that can't start by their latest start because the free
+    CPU of the usable upstreams is less than they need. The other fields are set only if there are
+    any: the waiting work in core-milliseconds, that free CPU, and the most sessions that an agent
+    of a usable upstream has reported.
     """
 
     missed: int = 0
@@ -52,6 +55,9 @@
         )
 
 
+NO_SHORTAGE = Shortage()
+
+
 def measure_shortage(
     late: Collection[str], jobs: Mapping[str, Sequence[Task]], views: Collection[AgentView]
 ) -> Shortage:
@@ -60,18 +66,21 @@
     The jobs ``late`` can't start by their latest start; they count as missed while a task of theirs
     waits. ``views`` holds the sessions with the usable upstreams.
     """
-    missed = sum(any(task.view is None for task in jobs[name]) for name in late)
-    if not missed:
-        return Shortage()
+    missed = [[task for task in jobs[name] if task.view is None] for name in late]
+    needed = sum(task.resources.cpu_milli for tasks in missed for task in tasks)
+    if not needed:
+        return NO_SHORTAGE
+    room = sum(max(0, view.available().cpu_milli) for view in views)
+    if room >= needed:
+        # They wait for a label, or to run apart from others, which more sessions wouldn't change.
+        return NO_SHORTAGE
     waiting = [task for tasks in jobs.values() for task in tasks if task.view is None]
     work = sum(
         task.job.spec.steps[task.step].estimate_ms * task.resources.cpu_milli / 1000
         for task in waiting
     )
-    room = sum(max(0, view.available().cpu_milli) for view in views)
-    # Without an agent, the number of entries is unknown.
-    entries = max((view.report.entries for view in views), default=SUBSET_SIZE)
-    return Shortage(missed, work, room, entries)
+    entries = max((view.report.entries for view in views), default=0)
+    return Shortage(sum(bool(tasks) for tasks in missed), work, room, entries)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,9 +111,10 @@
         self._short_since_ms: float | None = None
         self._last_missed_ms = float("-inf")
         self._changed_ms = float("-inf")
+        self._quiet_limit_ms = QUIET_MS
 
     def reset(self) -> None:
-        """Forget the shortage so far, because the process stood still."""
+        """Forget the shortage so far, because the process was suspended."""
         self._short_since_ms = None
 
     def update(self, shortage: Shortage, is_waiting: bool, now_ms: float) -> Widen | Narrow | None:
@@ -125,10 +135,14 @@
         if not self.is_wide and is_short and self._short_since_ms is not None:
             short_ms = now_ms - self._short_since_ms
             if short_ms >= SHORTAGE_MS:
+                # A lasting imbalance is quiet only while the entry is wide.
+                recurs = now_ms - self._changed_ms < QUIET_MS
+                doubled_ms = min(2 * self._quiet_limit_ms, MAX_QUIET_MS)
+                self._quiet_limit_ms = doubled_ms if recurs else QUIET_MS
                 self.is_wide, self._changed_ms = True, now_ms
                 return Widen(shortage, short_ms)
         quiet_ms = now_ms - self._last_missed_ms
-        if self.is_wide and quiet_ms >= QUIET_MS:
+        if self.is_wide and quiet_ms >= self._quiet_limit_ms:
             self.is_wide, self._changed_ms = False, now_ms
             return Narrow(quiet_ms)
         return None
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -22,6 +22,9 @@
 """Progress in percent from which the projected duration of a run counts in the slowness of the
 upstream; the projection is then accurate to within a tenth, because progress is reported in whole
 percents."""
+MAX_FACTOR = 100.0
+"""Bound of the ratio of the expected duration to the estimate, in both directions; one beyond it is
+malformed."""
 SLOW_REPORT_MS = 300.0
 """Shortest interval between two reports of the same slow run."""
 
@@ -84,7 +87,8 @@
     @property
     def expected_ms(self) -> float:
         """Duration of the run that its entry expects on an ordinary upstream."""
-        return self.order.estimate_ms * self.order.expected_factor
+        factor = self.order.expected_factor
+        return self.order.estimate_ms * min(max(factor, 1 / MAX_FACTOR), MAX_FACTOR)
 
     def projected_duration_ms(self, now_ms: float) -> float:
         """Return the total duration of the run, projected from its progress.
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -584,7 +584,6 @@
             elapsed_ms,
             now_ms,
         )
-        self._log_corrections()
 
     def _log_corrections(self) -> None:
         for change in self._durations.changes:
--- a/snipewell/subset.py
+++ b/snipewell/subset.py
@@ -63,10 +63,10 @@
     The agents of a zone out of service held `LOCAL_SHARE` of its entries' sessions; the agents of
     the zones in service replace them in equal parts.
     """
-    in_service = set(entry_zones.values()) - set(zones_out)
-    if zone not in in_service:
+    if zone in zones_out:
         return set()
-    places = -(-round(LOCAL_SHARE * SUBSET_SIZE) // len(in_service))
+    in_service = set(entry_zones.values()) - set(zones_out)
+    places = -(-round(LOCAL_SHARE * SUBSET_SIZE) // max(1, len(in_service)))
     displaced = [
         entry
         for entry in rank_entries(agent, entry_zones)
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -171,3 +171,17 @@
     FakeAgent(harness, "free").change(slowness=slowness)
     agent.send(make_slow(run, elapsed_ms, left_ms, notice_ms))
     assert (agent.stops, stays(harness)) == ([], [reason])
+
+
+def test_a_run_is_not_stopped_if_its_job_could_not_start_again_in_time() -> None:
+    """Late work needs a reserve, so the task of a stopped run might wait until its job expires."""
+    harness = Harness()
+    harness.submit(estimate=ESTIMATE_MS)
+    agent, run = harness.only_start()
+    agent.change(draining=True)
+    FakeAgent(harness, "other", 2_900)
+    # The job expires 7,380 ms after its arrival; a restart would need 1,500 ms of that.
+    harness.now += 6_000
+    agent.send(make_slow(run, 6_000.0, 3_000.0))
+    assert stays(harness) == ["too late to start again"]
+    assert not agent.stops
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -84,6 +84,28 @@
     assert all(b - a >= MIN_WRITE_INTERVAL_MS for a, b in zip(times, times[1:], strict=False))
 
 
+def test_a_lasting_imbalance_makes_the_entry_wide_for_longer() -> None:
+    """Guards against a cycle: it is quiet only while it is wide, and short once it isn't."""
+    decision = ReachDecision()
+    widened = []
+    for now in range(0, 400_000, 100):
+        shortage = Shortage() if decision.is_wide else SHORT
+        if isinstance(decision.update(shortage, not decision.is_wide, float(now)), Widen):
+            widened.append(now)
+    gaps = [after - before for before, after in zip(widened, widened[1:], strict=False)]
+    assert gaps[0] < 15_000 and gaps[-1] > 60_000
+    assert len(widened) <= 7
+
+
+def test_a_small_fleet_does_not_become_wide_while_its_upstreams_are_unusable() -> None:
+    """Guards against a write that no agent acts on."""
+    harness = Harness(1)
+    harness.agents["a0"].change(healthy=False)
+    harness.submit("waiting", estimate=100.0)
+    harness.advance(600)
+    assert not harness.core.is_wide
+
+
 def test_only_a_continuous_shortage_makes_an_entry_wide() -> None:
     """Guards against sessions for a short burst, and in a fleet where all agents have one."""
     burst = [*ticks(SHORTAGE_MS, SHORT), *ticks(20, Shortage())]
