--- a/snipewell/cli.py
+++ b/snipewell/cli.py
@@ -175,18 +175,28 @@
 @cappa.command(name="check")
 @dataclass
 class CheckCommand(_Command):
-    """Validate a settings file, or resource files, without applying them."""
+    """Check settings, resources or a platform configuration before they are sent.
 
-    settings: Annotated[str, cappa.Arg(help="settings file, resource file or directory")]
+    Exit status: 0 no finding, 1 findings, 2 a file or the version in force can't be read.
+    """
 
-    def _run(self) -> None:
-        from .check import check_path
+    files: Annotated[
+        list[str], cappa.Arg(num_args=-1, required=True, help="files or directories of resources")
+    ]
+    against: Annotated[
+        str,
+        cappa.Arg(
+            long="--against",
+            value_name="ADDRESS|FILE",
+            help="version in force to compare with: a file, or ip:port of an entry or the store",
+        ),
+    ] = ""
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON for scripts")] = False
 
-        async def run() -> int:
-            print(check_path(self.settings))
-            return OK
+    def _run(self) -> None:
+        from .command import check
 
-        _exit(run)
+        _exit(lambda: check(self.files, self.against, self.as_json))
 
 
 @cappa.command(name="explain")
@@ -217,6 +227,9 @@
     dry_run: Annotated[bool, cappa.Arg(long="--dry-run", help="only show what would change")] = (
         False
     )
+    check: Annotated[
+        bool, cappa.Arg(long="--check", help="write nothing if `snipewell check` has findings")
+    ] = False
     prune: Annotated[
         bool,
         cappa.Arg(long="--prune", help="delete undeclared resources of the kinds in the files"),
@@ -225,7 +238,9 @@
     def _run(self) -> None:
         from .command import apply
 
-        self.operate(lambda o: apply(o, self.path, self.dry_run, self.prune, self.output))
+        self.operate(
+            lambda o: apply(o, self.path, self.dry_run, self.prune, self.output, self.check)
+        )
 
 
 @cappa.command(name="get")
--- a/snipewell/command.py
+++ b/snipewell/command.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from urllib.parse import unquote, urlsplit
 
@@ -10,14 +12,40 @@
 
 from .address import split_address
 from .api import Client, NoRecord, Operator, Running
+from .check import decode_catalog_file, read_sources
 from .cli import FAILED, OK, UNKNOWN, USAGE, exit_status
+from .clock import SystemClock
+from .configcheck import (
+    AnyFinding,
+    Sources,
+    Unreadable,
+    check_manifest,
+    check_sources,
+    escape_finding,
+    escape_unprintable,
+)
+from .configdiff import (
+    AnyChange,
+    diff_boot,
+    diff_catalog,
+    diff_manifest,
+    diff_settings,
+    documents_of,
+    format_change,
+)
+from .errors import MessageError
 from .manifest import Difference, ManifestError, compare, load_json, read_manifest
 from .message import Resources
 from .operate import WriteResponse
-from .outcome import Complete, Outcome
-from .resource import Kind, SpecError, split_error
+from .outcome import Complete, Outcome, SnipewellError
+from .platform.configuration import CONFIGURATION_KEY
+from .platform.store import PlatformStore
+from .resource import Document, Kind, SpecError, split_error
 from .texttable import format_documents, format_status, format_table, format_writes
 
+STORE_TIMEOUT_MS = 2_000.0
+"""Timeout of reading the version in force from the platform's store."""
+
 
 class JobFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Content of a job file: ``tasks`` for a job, or ``payload`` for a single request.
@@ -33,10 +61,30 @@
     resources: Resources | None = None
 
 
-async def apply(operator: Operator, path: str, dry_run: bool, prune: bool, output: str) -> int:
-    """Apply the resource files below ``path`` as the declared state and print the differences."""
+async def apply(
+    operator: Operator, path: str, dry_run: bool, prune: bool, output: str, check: bool = False
+) -> int:
+    """Apply the resource files below ``path`` as the declared state and print the differences.
+
+    With ``check``, nothing is written and the result is 1 if `check_manifest` finds something.
+    """
     manifest = read_manifest(path)
     existing = [document for kind in Kind for document in await operator.get(kind)]
+    declared = {(resource.kind, resource.spec.name) for resource in manifest.resources}
+    kept = [
+        document
+        for document in existing
+        if not prune
+        or document.kind not in manifest.kinds
+        or (document.kind, document.name) in declared
+    ]
+    if check and (findings := [escape_finding(f) for f in check_manifest(manifest, kept, [])]):
+        if output == "json":
+            _print_json({"findings": findings, "changes": diff_manifest(manifest, existing)})
+        else:
+            _print_findings(findings)
+            print("nothing was written")
+        return FAILED
     differences = list(compare(manifest, existing, prune))
     if output == "table":
         _print_differences(differences, dry_run)
@@ -48,6 +96,103 @@
     return OK
 
 
+async def check(paths: Sequence[str], against: str, as_json: bool) -> int:
+    """Check files and print the findings, and the differences from ``against`` unless it is empty.
+
+    ``against`` is a file, a directory, or the address of an entry for resources and of the store
+    for configurations of the users' platform. Returns 1 with findings, and 2 if something can't be
+    read.
+    """
+    sources = read_sources(paths)
+    in_force: list[Document] = []
+    changes: list[AnyChange] = []
+    if against and not sources.errors:
+        try:
+            earlier, in_force = await _read_against(against, sources)
+            changes = _diff_sources(earlier, in_force, sources, against)
+        except ManifestError as error:
+            sources.errors.append(Unreadable(error.file, error.field, error.reason, error.line))
+        except SnipewellError as error:
+            sources.errors.append(Unreadable(against, "", str(error)))
+        except (MessageError, msgspec.MsgspecError, ValueError, RecursionError) as error:
+            sources.errors.append(Unreadable(against, "", f"invalid content: {error}"))
+    findings = [escape_finding(finding) for finding in check_sources(sources, in_force)]
+    if as_json:
+        _print_json({"findings": findings, "changes": changes})
+    else:
+        _print_findings(findings)
+        for summary in sources.summaries:
+            print(escape_unprintable(summary))
+        if against and not sources.errors:
+            for line in (line for change in changes for line in format_change(change)):
+                print(escape_unprintable(line))
+            print(f"changes from {escape_unprintable(against)}: {len(changes)}")
+    if any(isinstance(finding, Unreadable) for finding in findings):
+        return USAGE
+    return FAILED if findings else OK
+
+
+async def _read_against(against: str, sources: Sources) -> tuple[Sources, list[Document]]:
+    """Return the version in force and, for resources, its documents.
+
+    Raises ManifestError or SnipewellError if it can't be read.
+    """
+    if os.path.exists(against):
+        earlier = read_sources([against])
+        for error in earlier.errors:
+            raise ManifestError(error.file, error.line, error.path, error.reason)
+        return earlier, documents_of(earlier.manifest) if earlier.manifest is not None else []
+    try:
+        split_address(against)
+    except ValueError:
+        raise ManifestError(against, None, "", "expected an existing file or ip:port") from None
+    earlier, documents = Sources(), []
+    if sources.manifest is not None:
+        earlier.manifest = sources.manifest
+        operator = Operator([against])
+        try:
+            documents = [document for kind in Kind for document in await operator.get(kind)]
+        finally:
+            await operator.close()
+    if sources.catalogs:
+        store = PlatformStore(against, SystemClock(), STORE_TIMEOUT_MS)
+        value = (await store.list(CONFIGURATION_KEY)).values.get(CONFIGURATION_KEY)
+        if value is None:
+            raise ManifestError(against, None, "", f"expected a value of {CONFIGURATION_KEY}")
+        earlier.catalogs.append(decode_catalog_file(f"{against}/{CONFIGURATION_KEY}", value.value))
+    return earlier, documents
+
+
+def _diff_sources(
+    earlier: Sources, in_force: Sequence[Document], sources: Sources, against: str
+) -> list[AnyChange]:
+    """Return the differences of all sources; raise ManifestError if a format isn't in ``earlier``.
+
+    Settings are compared with settings of the same kind of daemon.
+    """
+    changes: list[AnyChange] = []
+    missing = ManifestError(
+        against, None, "", "expected a file of the same format as those checked"
+    )
+    if sources.manifest is not None:
+        if earlier.manifest is None:
+            raise missing
+        changes += diff_manifest(sources.manifest, in_force)
+    for catalog in sources.catalogs:
+        if not earlier.catalogs:
+            raise missing
+        changes += diff_catalog(earlier.catalogs[0], catalog)
+    for settings in sources.settings:
+        if [s.daemon for s in earlier.settings] != [settings.daemon]:
+            raise missing
+        changes += diff_settings(earlier.settings[0], settings)
+    for boot in sources.boots:
+        if not earlier.boots:
+            raise missing
+        changes += diff_boot(earlier.boots[0], boot)
+    return changes
+
+
 async def get(operator: Operator, kind: str, name: str, output: str) -> int:
     """Print the resource ``name``, or all resources of ``kind``, with their status."""
     documents = await operator.get(Kind(kind), name)
@@ -215,6 +360,15 @@
         print("dry run: nothing was written")
 
 
+def _print_findings(findings: Sequence[AnyFinding]) -> None:
+    for finding in findings:
+        text = str(finding)
+        if isinstance(finding, Unreadable):
+            print(f"snipewell: {text}", file=sys.stderr)
+        else:
+            print(f"{finding.__struct_config__.tag}: {text}")
+
+
 def _print_writes(written: list[WriteResponse]) -> None:
     performed = [response for response in written if not response.dry_run]
     if not performed:
--- a/snipewell/manifest.py
+++ b/snipewell/manifest.py
@@ -73,8 +73,8 @@
     lines: list[str]
 
 
-def read_manifest(path: str | os.PathLike[str]) -> Manifest:
-    """Read a file, or all resource files below a directory; raise ManifestError.
+def read_manifest(*paths: str | os.PathLike[str]) -> Manifest:
+    """Read files, or all resource files below directories; raise ManifestError.
 
     In a directory, files whose name starts with a dot, or does not end in .json, .json5 or .jsonc,
     are skipped. Declaring one resource twice is an error.
@@ -82,7 +82,8 @@
     resources: list[DeclaredResource] = []
     kinds: set[Kind] = set()
     seen: dict[tuple[Kind, str], DeclaredResource] = {}
-    for file in _find_files(Path(path)):
+    files = [file for path in paths for file in _find_files(Path(path))]
+    for file in dict.fromkeys(files):
         for kind, declarations in _read_file(file):
             kinds.add(kind)
             for declared in declarations:
@@ -166,17 +167,32 @@
         yield kind, resources
 
 
-def load_json(path: Path) -> tuple[object, str]:
-    """Return the decoded JSON with comments in ``path``, and its text; raise ManifestError."""
+def read_text(path: Path) -> str:
+    """Return the text in ``path``; raise ManifestError.
+
+    The size is bounded while reading, because that of a device or a pipe isn't known before.
+    """
     file = str(path)
     try:
-        if path.stat().st_size > MAX_FILE_BYTES:
+        with path.open("rb") as stream:
+            data = stream.read(MAX_FILE_BYTES + 1)
+        if len(data) > MAX_FILE_BYTES:
             raise ManifestError(file, None, "", f"expected at most {MAX_FILE_BYTES} bytes")
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        return data.decode("utf-8")
+    except (OSError, ValueError) as error:
         raise ManifestError(file, None, "", f"cannot be read: {error}") from None
+
+
+def load_json(path: Path) -> tuple[object, str]:
+    """Return the decoded JSON with comments in ``path``, and its text; raise ManifestError."""
+    text = read_text(path)
+    return decode_json_text(str(path), text), text
+
+
+def decode_json_text(file: str, text: str) -> object:
+    """Return the decoded JSON with comments; raise ManifestError with the name ``file``."""
     try:
-        return pyjson5.decode(text), text
+        return pyjson5.decode(text)
     except pyjson5.Json5DecoderException as error:
         position = re.search(r"near (\d+)", str(error))
         line = text.count("\n", 0, int(position[1])) + 1 if position else None
--- a/snipewell/platform/boot.py
+++ b/snipewell/platform/boot.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 
 SETTINGS_FILE_VARIABLE = "SNIPEWELL_BOOT"
 """Environment variable that holds the path of the settings file."""
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +76,7 @@
             raise SettingsError(file, line, name, f"expected a number, got {value!r}") from None
 
     ports = get_text("internalPortRange").split(",")
-    if len(ports) != 2 or not all(port.strip().isdigit() for port in ports):
+    if len(ports) != 2 or not all(_PORT.fullmatch(port.strip()) for port in ports):
         number = fields["internalPortRange"][0]
         raise SettingsError(
             file,
@@ -111,6 +113,6 @@
         )
     try:
         text = Path(file).read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(file, None, "", f"cannot be read: {error}") from error
     return parse_boot_settings(text, file)
--- a/snipewell/platform/jobs.py
+++ b/snipewell/platform/jobs.py
@@ -24,7 +24,7 @@
 READINESS_PATH = "/snipewell/readiness"
 DEADLINE_HEADER = "snipewell-deadline-ms"
 _JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
-_MAX_SPECIFICATION_BYTES = 4_000
+MAX_SPECIFICATION_BYTES = 4_000
 """Largest size of ``specification`` in bytes, as documented by the platform."""
 _MAX_ESTIMATE_MS = 86_400_000.0
 """Longest estimate of a task that is used, one day. Estimates are rough, so a longer one is cut to
@@ -90,8 +90,8 @@
         decoded = decode_json(body, _Job)
     except MessageError as error:
         raise JobFormatError(str(error)) from error
-    if len(decoded.specification.encode()) > _MAX_SPECIFICATION_BYTES:
-        raise JobFormatError(f"specification: expected at most {_MAX_SPECIFICATION_BYTES} bytes")
+    if len(decoded.specification.encode()) > MAX_SPECIFICATION_BYTES:
+        raise JobFormatError(f"specification: expected at most {MAX_SPECIFICATION_BYTES} bytes")
     steps = tuple(_decode_step(number, step) for number, step in enumerate(decoded.steps))
     tasks = sum(step.count for step in steps)
     if not 1 <= tasks <= _MAX_TASKS:
