--- a/snipewell/check.py
+++ b/snipewell/check.py
@@ -4,7 +4,7 @@
 
 import os
 import re
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -34,8 +34,8 @@
     "upstream": UpstreamSettings,
     "balancer": BalancerSettings,
 }
-_BOOT_LINE = re.compile(r"(?:\s*(?:#[^\n]*)?\n)*\s*[\w.]+[ \t]*=")
-"""Start of a settings file of the users' platform: comments and empty lines, then ``name=``."""
+_BOOT_LINE = re.compile(r"\s*[\w.]+\s*=")
+"""Start of a line with a setting in a file of the users' platform."""
 
 
 def read_sources(paths: Sequence[str]) -> Sources:
@@ -83,7 +83,7 @@
         _read_resources(path, sources, resources)
         return
     text = read_text(Path(path))
-    if _BOOT_LINE.match(text):
+    if _BOOT_LINE.match(next(_boot_lines(text), "")):
         boot = parse_boot_settings(text, path)
         sources.boots.append(BootFile(path, boot, _split_lines(text)))
         sources.summaries.append(f"{path}: valid settings of {boot.name}")
@@ -120,11 +120,16 @@
 
 def _split_lines(text: str) -> dict[str, str]:
     """Return the values by name of a settings file of the users' platform, which is valid."""
-    lines = (line.strip() for line in text.splitlines())
-    pairs = (line.partition("=") for line in lines if line and not line.startswith("#"))
+    pairs = (line.partition("=") for line in _boot_lines(text))
     return {name.strip(): value.strip() for name, _, value in pairs}
 
 
+def _boot_lines(text: str) -> Iterator[str]:
+    """Yield the lines that are neither empty nor comments."""
+    lines = (line.strip() for line in text.splitlines())
+    return (line for line in lines if line and not line.startswith("#"))
+
+
 def _find_route(value: bytes) -> int:
     """Return the index of the first route that can't be decoded."""
     document = msgspec.json.decode(value, type=dict[str, msgspec.Raw])
--- a/snipewell/cli.py
+++ b/snipewell/cli.py
@@ -21,9 +21,9 @@
 OK, FAILED, USAGE, UNREACHABLE, UNKNOWN, NOT_RUN = range(6)
 """Exit statuses. FAILED: the work ran and failed, or was cancelled; a daemon that stopped aborted
 requests or calls, or could not hand over a partition; ``status`` found an entry unreachable;
-``drain`` did not end in time; or there was another error. USAGE: the command, a file or the request
-is not valid. UNREACHABLE: nothing was sent. UNKNOWN: the work or the write may or may not have
-taken effect. NOT_RUN: it certainly did not."""
+``drain`` did not end in time; ``check`` has findings; or there was another error. USAGE: the
+command, a file or the request is not valid. UNREACHABLE: nothing was sent. UNKNOWN: the work or the
+write may or may not have taken effect. NOT_RUN: it certainly did not."""
 
 _EXIT_BY_HTTP_STATUS = {503: NOT_RUN, 504: UNKNOWN}
 """Exit status by HTTP status of a refused call; all other HTTP statuses give USAGE."""
--- a/snipewell/configcheck.py
+++ b/snipewell/configcheck.py
@@ -65,7 +65,11 @@
     """A limit that contradicts another one."""
 
 
-AnyFinding = Unreadable | NeverMatches | LimitConflict
+class DuplicateName(Finding, frozen=True, tag="duplicate_name"):
+    """A route with the name of another one; pending jobs are counted by name."""
+
+
+AnyFinding = Unreadable | NeverMatches | LimitConflict | DuplicateName
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,7 +203,7 @@
         found = [specs[kind].get(name) for name in names]
         out = [s for s in found if isinstance(s, ZoneSpec | UpstreamSpec) and not s.in_service]
         if names and len(out) == len(names):
-            reason = f"expected at least one in service, all {len(names)} are out of service"
+            reason = "expected at least one in service, all are out of service"
             yield NeverMatches(declared.file, f"{path}.{kind.value}", reason, declared.line)
 
 
@@ -248,7 +252,7 @@
         earlier = by_name.setdefault(queue.name, index)
         if earlier != index:
             reason = f"expected a unique name, routes[{earlier}] has the same: {queue.name!r}"
-            yield LimitConflict(source.file, f"{path}.name", reason)
+            yield DuplicateName(source.file, f"{path}.name", reason)
         for field_path, reason in _route_conflicts(queue, documents[index]):
             yield LimitConflict(source.file, f"{path}.{field_path}", reason)
     if source.catalog.max_body_bytes < MAX_SPECIFICATION_BYTES:
--- a/tests/test_configcheck.py
+++ b/tests/test_configcheck.py
@@ -1,14 +1,18 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 from typing import Any
 
+import curio
 import pytest
 from syrupy.assertion import SnapshotAssertion
 
 from snipewell.cli import main
+from snipewell.command import check
 from snipewell.platform.boot import read_boot_settings
 from snipewell.settings import SettingsError
+from snipewell.standins.metadata import MetadataStore
 from tests.fake_entry import FakeEntry, entry_in_thread
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -86,7 +90,6 @@
 @pytest.mark.parametrize(
     ("document", "path"),
     [
-        (catalog({}, {"pathPrefix": "/p/"}), "routes[1].name"),
         (catalog({"maxAttempts": 0}), "routes[0].maxAttempts"),
         (catalog({"stretchFactor": 0}), "routes[0].stretchFactor"),
         (catalog({"stretchFactor": 0.5}), "routes[0].targetLatencyMs"),
@@ -114,6 +117,12 @@
     assert (status, kind, found.removeprefix("services/")) == (1, "limit_conflict", path)
 
 
+def test_two_routes_of_one_name(checker: Checker) -> None:
+    """Guards against routes whose pending jobs are counted together."""
+    file = checker.write("f.json", catalog({}, {"pathPrefix": "/p/"}))
+    assert checker.findings(file) == (1, [("duplicate_name", "routes[1].name")])
+
+
 def test_limits_at_the_bound_and_the_examples_have_no_findings(checker: Checker) -> None:
     """Guards against false findings, which would block ``apply --check``."""
     routes = catalog({"targetLatencyMs": 60, "timeoutMs": 120, "maxAttempts": 2}, services=[ROUTE])
@@ -141,6 +150,7 @@
         (b'{"zones": [{"name": "\xe9"}]}', "DIR/bad: cannot be read: 'utf-8'"),
         ("zones: patan", "DIR/bad:1: expected JSON"),
         ("", "DIR/bad:1: expected JSON"),
+        ("\n" * 50_000 + "x", "DIR/bad:50001: expected JSON"),
         ("[]", "DIR/bad: expected an object"),
         ('{"zones": ' + "[" * 100_000, "DIR/bad:1: expected JSON with comments: Maximum nesting"),
         ('{"zones": {}}', "DIR/bad:1: zones: expected a list"),
@@ -215,9 +225,32 @@
     assert puts == 2
     status, out = checker.run("apply", bad, *remote)
     assert (status, "services/s.zones[0]" in out, "nothing was written" in out) == (1, True, True)
+    pruned = checker.write("p.json", {"zones": [{"name": "b"}], "services": [service]})
+    status, out = checker.run("apply", pruned, "--prune", "--output", "json", *remote)
+    assert (status, json.loads(out)["findings"][0]["path"]) == (1, "services/s.zones[0]")
     status, out = checker.run("check", bad, "--against", entry.address)
     assert status == 1 and 'zones: changed from ["a"] to ["b"]' in out
     assert checker.run("check", good, "--against", entry.address)[1].endswith(": 0\n")
     assert entry.store.stats()["put"] == puts
     assert checker.run("check", good, "--against", "127.0.0.1:1")[0] == 2
     assert checker.run("check", good, "--against", "nowhere")[0] == 2
+
+
+def test_against_the_store_of_the_platform(checker: Checker) -> None:
+    """Guards against taking a missing or unreadable version in force for one without routes."""
+    file = checker.write("new.json", catalog({"maxAttempts": 3}))
+
+    async def run() -> list[int]:
+        store = MetadataStore(Random(1))
+        server = await store.serve()
+        address = "{}:{}".format(*server.address)
+        statuses = [await check([file], address, True)]
+        for value in (b"{", json.dumps(catalog({})).encode()):
+            store.put("op/config", value)
+            statuses.append(await check([file], address, True))
+        await server.stop(0)
+        return statuses
+
+    assert curio.run(run) == [2, 2, 0]
+    out = checker.capsys.readouterr().out
+    assert '"field": "maxAttempts"' in out and out.count('"type": "unreadable"') == 2
