--- a/snipewell/agentsession.py
+++ b/snipewell/agentsession.py
@@ -213,6 +213,7 @@
         match body:
             case Hello() | Report():
                 view.apply_report(body.report, acked)
+                view.report_ms = now_ms
                 crashes = [AgentUpstreamCrashed(view, crash) for crash in body.crashes]
                 return [*crashes, *self._close_earlier_incarnations(view)]
             case RunEnded():
--- a/snipewell/agentview.py
+++ b/snipewell/agentview.py
@@ -25,6 +25,8 @@
     report: UpstreamReport
     free: ResourceVector = field(default_factory=ResourceVector)
     unreported_starts: dict[int, ResourceVector] = field(default_factory=dict)
+    report_ms: float = float("-inf")
+    """Time at which the last report arrived."""
     runs: int = 0
     """Number of starts sent in the session of which the end hasn't been reported."""
     busy_since_ms: float = float("-inf")
--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -27,6 +27,7 @@
 from dataclasses import dataclass, field
 
 from .entrysession import STOP_MARGIN_MS, EntrySessions, SendFrame
+from .forecast import find_soonest_ends
 from .ids import UpstreamId
 from .job import ResourceVector, RunEnd
 from .lease import LeaseClock
@@ -93,6 +94,8 @@
 UNHEALTHY_MS = 1_000.0
 """Time for which an upstream is reported as unhealthy after it refused a start as unhealthy or as
 addressed to another instance, a start could not be sent, or the lease expired without an answer."""
+PLACED_REPORT_MS = 10_000.0
+"""Time after a start with a place for which reports carry the expected ends of runs."""
 FENCING_TOKEN_STEP = 600_000
 """Added to a fencing token that the upstream refused, doubled each time. Tokens start at the time
 of day in milliseconds; the step is ten minutes, which is more than the time of day jumps between
@@ -149,6 +152,8 @@
         self._reconciled = False
         self._lease = LeaseClock()
         self._speed = SlownessEstimator()
+        self._placed_ms = float("-inf")
+        """Time of the last start with a place."""
         self._acked = 0
         self._ack_due = False
         self._runs: dict[tuple[str, int], Run] = {}
@@ -639,6 +644,8 @@
                 self._stop(key, "superseded", now_ms)
             self._reject(peer, session, order, reason, now_ms)
             return
+        if order.placed:
+            self._placed_ms = now_ms
         self.entries.use_offer(peer, order.resources)
         key = (order.task, order.attempt)
         self._runs[key] = Run(
@@ -888,8 +895,21 @@
             and not self._is_silent(now_ms),
             self.entries.open_count,
             self._slowness(now_ms),
+            self._find_ends(now_ms),
         )
 
+    def _find_ends(self, now_ms: float) -> list[tuple[int, float]]:
+        """Return the soonest expected ends of runs while entries need them."""
+        if now_ms - self._placed_ms >= PLACED_REPORT_MS:
+            return []
+        ends: list[tuple[int, float]] = []
+        for run in self._runs.values():
+            duration_ms = run.order.estimate_ms
+            if run.percent >= MIN_PROJECTED_PERCENT:
+                duration_ms = run.projected_duration_ms(now_ms)
+            ends.append((run.resources.cpu_milli, run.start_sent_ms + duration_ms))
+        return find_soonest_ends(ends, now_ms)
+
     def _slowness(self, now_ms: float) -> float:
         projected = [
             run.projected_duration_ms(now_ms) / max(1.0, run.order.estimate_ms)
--- a/snipewell/job.py
+++ b/snipewell/job.py
@@ -77,9 +77,11 @@
     """One step of a job: ``count`` equal tasks that start when the steps in ``after`` are done.
 
     ``estimate_ms`` is the client's rough estimate of the duration of one task. ``label`` is
-    required of the upstream unless it is empty. ``near_rack`` and ``max_per_upstream`` are the
-    affinity and the anti-affinity of the step; placement doesn't use them. ``unsupported`` names a
-    property of the step that this version doesn't support; a job with such a step is refused.
+    required of the upstream unless it is empty. ``near_rack`` is the rack of the step's data, empty
+    for none. ``max_per_upstream`` is the maximum number of its tasks on one upstream, 0 for no
+    limit. ``unsupported`` names a property of the step that this version doesn't support; a job
+    with such a step is refused. The tasks of a step with ``same_rack`` take longer if they run on
+    more than one rack.
     """
 
     count: int
@@ -90,6 +92,11 @@
     near_rack: str = ""
     max_per_upstream: int = 0
     unsupported: str = ""
+    same_rack: bool = False
+
+    def has_place(self) -> bool:
+        """Return whether the duration of the tasks depends on the racks on which they run."""
+        return bool(self.near_rack) or (self.same_rack and self.count > 1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -31,7 +31,7 @@
 from .logbuffer import LogBuffer
 from .metrics import Metrics
 from .runmessage import AgentFrame, decode_agent_frame, encode_frame
-from .scheduler import Answer, LogRecord, Scheduler
+from .scheduler import Answer, LogRecord, PlacedStart, Scheduler
 from .server import HttpServer, ServerLimits
 from .store import Changes, Listing
 from .storetask import LeasedStore, Registration, watch_prefix
@@ -149,6 +149,12 @@
         self.metrics.count("jobs", outcome=name, priority=str(queue.priority))
         self.metrics.observe_ms("job_duration", elapsed_ms, outcome=name)
 
+    def _count_placed(self, start: PlacedStart) -> None:
+        self.metrics.count("near_starts" if start.near else "far_starts", queue=start.queue)
+        if start.waited_ms is not None:
+            self.metrics.count("waited_starts", queue=start.queue)
+            self.metrics.observe_ms("place_wait", start.waited_ms, queue=start.queue)
+
     def _declare_metrics(self) -> None:
         core, counters = self._core, self._core.counters
         self.metrics.gauge("open_jobs", lambda: core.open_jobs)
@@ -180,6 +186,8 @@
                         await reply.put(effect.outcome)
                 case LogRecord():
                     self._log.info("scheduler", effect.text, **effect.fields)
+                case PlacedStart():
+                    self._count_placed(effect)
 
     async def _on_frame(self, peer: str, frame: AgentFrame) -> None:
         await self._task.put(self._core.on_frame, peer, frame)
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -37,6 +37,14 @@
     """Time at which a run was last lost."""
     not_before_ms: float = float("-inf")
     """Earliest time of the next start."""
+    near: bool | None = None
+    """Whether the latest start was on the near rack, None if the step names no place."""
+    expected_end_ms: float = float("-inf")
+    """Expected end of the latest run."""
+    near_wait_since_ms: float | None = None
+    """Time of the first decision to wait for the near rack since the latest start, or None."""
+    near_wait_reason: str = ""
+    """Reason of the latest logged decision to wait."""
 
     @property
     def resources(self) -> ResourceVector:
@@ -60,6 +68,8 @@
     started: bool = False
     work: float = 0.0
     value: float = 1.0
+    step_racks: dict[int, str] = field(default_factory=dict)
+    """Rack chosen for each step with ``sameRack``, empty if its tasks are split."""
 
     def step_done(self, step: int) -> bool:
         """Return whether all tasks of the step are done."""
--- a/snipewell/matching.py
+++ b/snipewell/matching.py
@@ -61,7 +61,8 @@
     The upstream must not be in ``avoid``, and the expected duration of the task on it must not
     exceed ``max_duration_ms``. With ``require_reserve``, at least `RESERVE_SHARE` of the CPU of the
     upstream must be free. The upstream must not be in ``excluded`` either, even if no other is
-    left.
+    left. It must have the label ``rack`` and must not have the label ``away_from``, if they are
+    set. ``duration_factor`` is the ratio of the duration there to that on the near rack.
     """
 
     step: StepSpec
@@ -69,18 +70,33 @@
     max_duration_ms: float = float("inf")
     require_reserve: bool = False
     excluded: Collection[UpstreamId] = ()
+    rack: str = ""
+    away_from: str = ""
+    duration_factor: float = 1.0
 
     def accepts(self, candidate: Candidate) -> bool:
         """Return whether ``candidate`` meets the requirements."""
         return (
             self.step.resources.fits(candidate.available)
-            and (not self.step.label or self.step.label in candidate.view.report.labels)
-            and self.step.estimate_ms * candidate.slowness <= self.max_duration_ms
+            and self.permits(candidate)
+            and (not self.rack or self.rack in candidate.view.report.labels)
+            and (not self.away_from or self.away_from not in candidate.view.report.labels)
+            and self.duration_ms(candidate) <= self.max_duration_ms
+            and (not self.require_reserve or candidate.has_reserve())
+        )
+
+    def permits(self, candidate: Candidate) -> bool:
+        """Return whether the task may run on ``candidate``, whatever its load and its rack."""
+        return (
+            (not self.step.label or self.step.label in candidate.view.report.labels)
             and candidate.view.upstream not in self.avoid
             and candidate.view.upstream not in self.excluded
-            and (not self.require_reserve or candidate.has_reserve())
         )
 
+    def duration_ms(self, candidate: Candidate) -> float:
+        """Return the expected duration of the task on ``candidate``."""
+        return self.step.estimate_ms * candidate.slowness * self.duration_factor
+
 
 def may_run(view: AgentView, step: StepSpec, available: ResourceVector) -> bool:
     """Return whether an upstream has the label that ``step`` requires and can fit one of its tasks.
@@ -100,6 +116,8 @@
         self._by_speed = sorted(candidates, key=lambda candidate: candidate.slowness)
         self._fast = self._find_fast()
         self._max_available: ResourceVector | None = None
+        self._has_reserve: bool | None = None
+        self._by_rack: dict[str, list[Candidate]] = {}
         self._names = {candidate.view.upstream for candidate in candidates}
 
     def _find_fast(self) -> list[Candidate]:
@@ -119,18 +137,36 @@
             return None
         if requirements.avoid and self._names <= set(requirements.avoid):
             requirements = replace(requirements, avoid=())
+        if requirements.rack:
+            # Few upstreams are on one rack, so a sample of all would mostly miss it.
+            return self._scan(requirements, self.on_rack(requirements.rack))
         drawn = (
             [self._rng.choice(self._fast) for _ in range(SAMPLED_CANDIDATES)] if self._fast else []
         )
         eligible = [candidate for candidate in drawn if requirements.accepts(candidate)][:2]
-        return self._choose(eligible) or self._scan(requirements)
-
-    def _scan(self, requirements: TaskRequirements) -> Candidate | None:
+        return self._choose(eligible) or self._scan(requirements, self._by_speed)
+
+    @property
+    def candidates(self) -> Sequence[Candidate]:
+        """All candidates, the fastest first."""
+        return self._by_speed
+
+    def on_rack(self, rack: str) -> Sequence[Candidate]:
+        """Return the candidates with the label ``rack``, the fastest first."""
+        if rack not in self._by_rack:
+            self._by_rack[rack] = [
+                candidate for candidate in self._by_speed if rack in candidate.view.report.labels
+            ]
+        return self._by_rack[rack]
+
+    def _scan(
+        self, requirements: TaskRequirements, candidates: Sequence[Candidate]
+    ) -> Candidate | None:
         eligible: list[Candidate] = []
-        for candidate in self._by_speed:
+        for candidate in candidates:
             if eligible and candidate.slowness > eligible[0].slowness * (1 + SLOWNESS_TOLERANCE):
                 break
-            if requirements.step.estimate_ms * candidate.slowness > requirements.max_duration_ms:
+            if requirements.duration_ms(candidate) > requirements.max_duration_ms:
                 break
             if requirements.accepts(candidate):
                 eligible.append(candidate)
@@ -140,6 +176,13 @@
         """Subtract the ``resources`` of a task that starts on ``candidate``."""
         candidate.available = candidate.available.minus(resources)
         self._max_available = None
+        self._has_reserve = None
+
+    def has_reserve(self) -> bool:
+        """Return whether any candidate has enough CPU free for late work."""
+        if self._has_reserve is None:
+            self._has_reserve = any(candidate.has_reserve() for candidate in self._by_speed)
+        return self._has_reserve
 
     def _find_max_available(self) -> ResourceVector:
         """Return the maximum of each free resource over all candidates.
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -20,6 +20,7 @@
 from .jobstate import Job, Task
 from .matching import Candidate, CandidatePool, TaskRequirements, may_run
 from .outlier import Health, OutlierDetector
+from .placedtasks import PlacedTasks
 from .runmessage import RunSlow
 
 MIN_SATURATION_MS = 300.0
@@ -57,7 +58,9 @@
     ``start`` is called for each task to start, ``refuse`` for each job to refuse, and ``log`` with
     the text and the fields of each decision to log. ``runs`` holds the runs in progress;
     ``stopping`` the names of tasks with a run that is being stopped, which may not start yet.
-    ``crashes`` tells which tasks are suspects, which are kept apart.
+    ``crashes`` tells which tasks are suspects, which are kept apart. ``place_factor`` returns the
+    ratio of the duration of a queue's tasks away from their near rack to that on it. Without
+    ``place_waits``, no task waits for its near rack while another place is free.
     """
 
     def __init__(
@@ -70,6 +73,8 @@
         start: Callable[[Task, Candidate, float], None],
         refuse: Callable[[Job, JobRefused, float], None],
         log: Callable[..., None],
+        place_factor: Callable[[str], float] = lambda queue: 1.0,
+        place_waits: bool = True,
     ) -> None:
         self.zones_out: frozenset[str] = frozenset()
         self.demand_cpu_milli = 0
@@ -83,6 +88,7 @@
         self._start_run = start
         self._refuse = refuse
         self._log = log
+        self._places = PlacedTasks(runs, place_factor, place_waits, log)
         self._outliers = OutlierDetector(rng)
         self._probing: list[Candidate] = []
         self._next_round_ms = float("-inf")
@@ -109,11 +115,13 @@
                 jobs = by_service.setdefault(task.job.queue.service, {})
                 jobs.setdefault(task.job.spec.job, []).append(task)
         self.demand_cpu_milli = 0
+        self._places.held.clear()
         for service, jobs in by_service.items():
             self._place_service(service, jobs, now_ms)
         pause_ms = ROUND_PAUSE_PER_TASK_MS * max(0, len(waiting) - TASKS_WITHOUT_PAUSE)
         self._next_round_ms = now_ms + min(pause_ms, MAX_ROUND_PAUSE_MS)
-        if not waiting:
+        if all(name in self._places.held for name in waiting):
+            # Tasks that wait for their near rack by decision are no sign of a lack of capacity.
             self._saturated_since_ms = float("inf")
 
     def tick(self, now_ms: float) -> None:
@@ -132,20 +140,19 @@
         # Late jobs that have started come first: little of their work remains, and abandoning them
         # would waste the work already done.
         started = [name for name in planned.late if jobs[name][0].job.started]
-        for name in started:
-            self._start_tasks(jobs[name], pool, now_ms)
-        for name in planned.timely:
-            due_ms = jobs[name][0].job.timing.due_ms
-            self._start_tasks(jobs[name], pool, now_ms, due_ms)
+        self._places.begin_round(pool, now_ms)
+        self._start_tasks([task for name in started for task in jobs[name]], pool, now_ms)
+        timely = [task for name in planned.timely for task in jobs[name]]
+        self._start_tasks(timely, pool, now_ms, timely=True)
         self.demand_cpu_milli += sum(
             task.resources.cpu_milli
             for name in [*started, *planned.timely]
             for task in jobs[name]
             if task.view is None
         )
-        for name in [*planned.late, *planned.infeasible]:
-            rest = [task for task in jobs[name] if task.view is None]
-            self._start_tasks(rest, pool, now_ms, require_reserve=True)
+        rest = [*planned.late, *planned.infeasible]
+        late = [task for name in rest for task in jobs[name] if task.view is None]
+        self._start_tasks(late, pool, now_ms, require_reserve=True)
         if planned.infeasible:
             # The round may follow the first report of an upstream, before the next tick.
             self._check_capacity_growth(now_ms)
@@ -237,26 +244,36 @@
         tasks: list[Task],
         pool: CandidatePool,
         now_ms: float,
-        end_by_ms: float = float("inf"),
+        timely: bool = False,
         require_reserve: bool = False,
     ) -> None:
-        """Start the ``tasks`` of one job on upstreams where they are expected to end in time.
+        """Start ``tasks`` on upstreams; with ``timely``, where they are expected to end in time.
 
         Tasks without such an upstream stay waiting. With ``require_reserve``, tasks start only
         on upstreams with at least ``RESERVE_SHARE`` of their CPU free.
         """
-        for task in tasks:
+        for task in self._places.order(tasks):
             step = task.job.spec.steps[task.step]
+            excluded = self._find_with_suspects(now_ms) if self.must_run_apart(task, now_ms) else ()
+            if step.max_per_upstream:
+                excluded = {*excluded, *self._places.find_full(task)}
             requirements = TaskRequirements(
                 step,
                 task.avoid,
-                end_by_ms - now_ms,
+                (task.job.timing.due_ms if timely else float("inf")) - now_ms,
                 require_reserve,
-                self._find_with_suspects(now_ms) if self.must_run_apart(task, now_ms) else (),
+                excluded,
             )
-            candidate = self._claim_probe(requirements, now_ms) or pool.find(requirements)
+            task.near = None
+            if step.has_place():
+                candidate = self._places.find(
+                    task, requirements, lambda probed: self._claim_probe(probed, now_ms)
+                )
+            else:
+                candidate = self._claim_probe(requirements, now_ms) or pool.find(requirements)
             if candidate is not None:
                 pool.allocate(candidate, step.resources)
+                self._places.on_start(task, candidate, now_ms)
                 self._start_run(task, candidate, now_ms)
 
     def must_run_apart(self, task: Task, now_ms: float) -> bool:
--- a/snipewell/platform/jobs.py
+++ b/snipewell/platform/jobs.py
@@ -46,7 +46,8 @@
 
     ``cpu`` is in thousandths of a core, ``estimatedMs`` the estimated duration of one task.
     ``after`` holds the numbers of earlier steps. ``requirements`` is a label that the upstream must
-    have, and ``affinity`` becomes `StepSpec.near_rack`.
+    have, ``affinity`` the label of a rack, and ``antiAffinity`` the maximum number of tasks on one
+    upstream. ``sameRack`` requests that all tasks run on one rack.
     """
 
     count: int = 0
@@ -101,7 +102,7 @@
 
 
 def _decode_step(number: int, step: _Step) -> StepSpec:
-    figures = (step.count, step.cpu, step.memMb, step.gpus)
+    figures = (step.count, step.cpu, step.memMb, step.gpus, step.antiAffinity)
     if min(figures) < 0 or step.estimatedMs < 0:
         raise JobFormatError(f"steps.{number}: expected no negative figures")
     if max(figures) > _MAX_FIGURE:
@@ -113,7 +114,6 @@
         "tasks that last": step.longRunning,
         "tasks that fill": step.fills,
         "targets of tasks that serve": step.targetMs > 0,
-        "anti-affinity": step.antiAffinity > 0,
     }
     return StepSpec(
         step.count,
@@ -124,6 +124,7 @@
         step.affinity,
         step.antiAffinity,
         next((name for name, is_requested in requested.items() if is_requested), ""),
+        step.sameRack,
     )
 
 
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -39,14 +39,18 @@
     """Number of entries with a session at the agent, which share the upstream."""
     slowness: float = 1.0
     """Ratio of the durations of recent and (projected) running tasks to the clients' estimates."""
+    ends: list[tuple[int, float]] = []
+    """Soonest expected ends of runs: CPU in thousandths of a core, and time from the report in
+    milliseconds. Empty unless the agent has had a start with a place lately."""
 
     def accepts_tasks(self) -> bool:
         """Return whether the upstream accepts new tasks."""
         return bool(self.upstream) and self.healthy and not self.draining
 
     def equals_except_load(self, other: UpstreamReport) -> bool:
-        """Return whether the reports differ at most in free resources and slowness."""
-        return replace(self, free=other.free, slowness=other.slowness) == other
+        """Return whether the reports differ at most in free resources, slowness and ends."""
+        load = replace(self, free=other.free, slowness=other.slowness, ends=other.ends)
+        return load == other
 
 
 NO_UPSTREAM = UpstreamReport("", "", "", ResourceVector(), ResourceVector(), [])
@@ -124,6 +128,8 @@
     """Number of recent crashes of upstreams under the task. A task with any is a suspect."""
     apart: bool = False
     """Whether the agent rejects the task while another suspect is running."""
+    placed: bool = False
+    """Whether the task names a place, so that entries need the expected ends of runs."""
 
 
 class StopRun(msgspec.Struct, tag="stop", frozen=True):
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -97,7 +97,19 @@
     fields: Mapping[str, object]
 
 
-SchedulerEffect = SendAgent | Answer | LogRecord
+@dataclass(frozen=True, slots=True)
+class PlacedStart:
+    """Effect that counts a start of a task with a place, for the metrics of its queue.
+
+    ``waited_ms`` is the time for which the task waited for its near rack, None if it didn't.
+    """
+
+    queue: QueueName
+    near: bool
+    waited_ms: float | None
+
+
+SchedulerEffect = SendAgent | Answer | LogRecord | PlacedStart
 
 
 @dataclass(slots=True)
@@ -113,6 +125,11 @@
     """Failed jobs with a task under which too many upstreams crashed."""
     cancelled: int = 0
     starts: int = 0
+    near_starts: int = 0
+    far_starts: int = 0
+    """Starts away from the near rack, and those of a group that is split over racks."""
+    waited_starts: int = 0
+    """Starts, near or far, after a wait for the near rack."""
     rejected_starts: int = 0
     lost_runs: int = 0
     """Runs of open jobs that were lost, stopped or stalled, or whose lease expired. Slow runs that
@@ -126,7 +143,12 @@
     `place` after each batch of events.
     """
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(
+        self,
+        rng: Random,
+        place_factor: Callable[[str], float] = lambda queue: 1.0,
+        place_waits: bool = True,
+    ) -> None:
         self.effects: list[SchedulerEffect] = []
         self.counters = SchedulerCounters()
         self.sessions = AgentSessions(self.effects.append)
@@ -150,6 +172,8 @@
             self._start_run,
             self._end_job,
             self._log,
+            place_factor,
+            place_waits,
         )
         self._arrivals = RecentArrivals()
         self._last_active_ms: float | None = None
@@ -536,19 +560,32 @@
             step.estimate_ms,
             self._crashes.count(task.name, now_ms),
             self._placer.must_run_apart(task, now_ms),
+            placed=task.near is not None,
         )
+        self._count_place(task, now_ms)
         self.sessions.send(view, order, now_ms)
         self._log(
             "task placed",
             task=task.name,
             attempt=task.attempt,
             upstream=view.upstream,
-            expected_ms=round(step.estimate_ms * candidate.slowness),
+            expected_ms=round(task.expected_end_ms - now_ms),
             waited_ms=round(waited_ms),
             free_cpu=view.free.cpu_milli,
             report_age_ms=round(now_ms - view.channel.last_seen_ms),
         )
 
+    def _count_place(self, task: Task, now_ms: float) -> None:
+        """Count the start of a task with a place."""
+        since_ms, task.near_wait_since_ms, task.near_wait_reason = task.near_wait_since_ms, None, ""
+        if task.near is None:
+            return
+        waited_ms = None if since_ms is None else now_ms - since_ms
+        self.counters.near_starts += task.near
+        self.counters.far_starts += not task.near
+        self.counters.waited_starts += waited_ms is not None
+        self.effects.append(PlacedStart(task.job.queue.name, task.near, waited_ms))
+
     # Timers.
 
     def tick(self, now_ms: float) -> None:
