--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -31,7 +31,7 @@
 from .logbuffer import LogBuffer
 from .metrics import Metrics
 from .runmessage import AgentFrame, decode_agent_frame, encode_frame
-from .scheduler import Answer, LogRecord, Scheduler, SetWide
+from .scheduler import Answer, LogRecord, PlacedStart, Scheduler, SetWide
 from .server import HttpServer, ServerLimits
 from .store import Changes, Listing
 from .storetask import LeasedStore, Registration, watch_prefix
@@ -151,6 +151,12 @@
         self.metrics.count("jobs", outcome=name, priority=str(queue.priority))
         self.metrics.observe_ms("job_duration", elapsed_ms, outcome=name)
 
+    def _count_placed(self, start: PlacedStart) -> None:
+        self.metrics.count("near_starts" if start.near else "far_starts", queue=start.queue)
+        if start.waited_ms is not None:
+            self.metrics.count("waited_starts", queue=start.queue)
+            self.metrics.observe_ms("place_wait", start.waited_ms, queue=start.queue)
+
     def _declare_metrics(self) -> None:
         core, counters = self._core, self._core.counters
         self.metrics.gauge("open_jobs", lambda: core.open_jobs)
@@ -187,6 +193,8 @@
                     await self._registration.set_wide(effect.wide)
                 case LogRecord():
                     self._log.info("scheduler", effect.text, **effect.fields)
+                case PlacedStart():
+                    self._count_placed(effect)
 
     async def _on_frame(self, peer: str, frame: AgentFrame) -> None:
         await self._task.put(self._core.on_frame, peer, frame)
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -43,6 +43,12 @@
     """Whether the latest run started on the rack of its data; None if the task names no place."""
     start_slowness: float = 1.0
     """Slowness of the upstream of the latest run in the report that preceded its start."""
+    expected_end_ms: float = float("-inf")
+    """Expected end of the latest run."""
+    near_wait_since_ms: float | None = None
+    """Time of the first decision to wait for the near rack since the latest start, or None."""
+    near_wait_reason: str = ""
+    """Reason of the latest logged decision to wait."""
 
     @property
     def resources(self) -> ResourceVector:
@@ -66,6 +72,8 @@
     started: bool = False
     work: float = 0.0
     value: float = 1.0
+    step_racks: dict[int, str] = field(default_factory=dict)
+    """Rack chosen for each step with ``sameRack``, empty if its tasks are split."""
 
     def step_done(self, step: int) -> bool:
         """Return whether all tasks of the step are done."""
