--- a/snipewell/job.py
+++ b/snipewell/job.py
@@ -124,7 +124,8 @@
 class Queue:
     """Route and scheduling parameters of one queue.
 
-    ``priority`` (0 is the most urgent) is only a label of metrics; scheduling doesn't use it.
+    ``priority`` (0 is the most urgent) decides which jobs come first when not all can be served in
+    time, see `sharing`.
 
     The latency objective of a job is ``stretch`` times the duration of its critical path plus
     ``latency_ms``. Submissions are routed by ``host`` and ``path_prefix``.
@@ -190,12 +191,14 @@
     """Outcome of a job of which no task has started or will; a retry is safe.
 
     The client may retry after ``retry_after_ms``. ``busy`` is set if capacity was lacking, and not
-    if this process can't serve the request at all.
+    if this process can't serve the request at all. ``cause`` is then the value of a
+    `sharing.RefusalCause`.
     """
 
     reason: str
     retry_after_ms: float
     busy: bool = False
+    cause: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/jobentryd.py
+++ b/snipewell/jobentryd.py
@@ -144,6 +144,8 @@
                 name = outcome.state.value
             case JobRefused():
                 name = "refused"
+                if outcome.cause:
+                    self.metrics.count("refused", reason=outcome.cause, queue=queue.name)
             case _:
                 name = "unknown"
         self.metrics.count("jobs", outcome=name, priority=str(queue.priority))
--- a/snipewell/jobqueue.py
+++ b/snipewell/jobqueue.py
@@ -6,15 +6,19 @@
 of their latest start. If not all can, the jobs with the least value per unit of work are deferred
 (the rule of Moore and Hodgson, extended by a value for each job). Deferred jobs are planned
 again against their expiry time, and those that don't fit there either are infeasible; `placer`
-decides which of these it refuses.
+decides which of these it refuses. Where not all fit, `sharing` may put other jobs first than the
+value does.
 """
 
 from __future__ import annotations
 
 import heapq
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
+from typing import Any
+
+from .sharing import Claim, Demand, Rank, RefusalCause, Sharing
 
 EXPIRY_FACTOR = 3.0
 """Expiry time of a job as a multiple of its latency objective; the figure is stated by the
@@ -72,6 +76,9 @@
     work: float
     value: float
     started: bool = False
+    claim: Claim = Claim()
+    tasks: int = 1
+    """Number of waiting tasks."""
 
     def latest_start_ms(self) -> float:
         """Return the time by which the waiting tasks must start to end by the due time."""
@@ -88,25 +95,65 @@
 
     ``timely`` jobs are expected to end by their due time and ``late`` jobs by their expiry time;
     ``infeasible`` jobs by neither. Infeasible jobs that have started are kept and served after all
-    others; the rest should be refused.
+    others; the rest should be refused. ``displaced`` names the infeasible jobs that are so only
+    because of the rules of `sharing`.
     """
 
     timely: list[str] = field(default_factory=list)
     late: list[str] = field(default_factory=list)
     infeasible: list[str] = field(default_factory=list)
+    displaced: dict[str, RefusalCause] = field(default_factory=dict)
 
 
-def plan(jobs: Iterable[WaitingJob], rate: float, now_ms: float) -> Plan:
+def plan(
+    jobs: Iterable[WaitingJob], rate: float, now_ms: float, sharing: Sharing | None = None
+) -> Plan:
     """Return the order of service of ``jobs``.
 
-    ``rate`` is the expected rate of started work, in core-milliseconds per millisecond.
+    ``rate`` is the expected rate of started work, in core-milliseconds per millisecond. Without
+    ``sharing``, and while all jobs that can still start in time fit, only the value decides.
     """
+    jobs = list(jobs)
+    by_value = _plan_by_rank(jobs, rate, now_ms, _value_density)
+    if sharing is None:
+        return by_value
+    demands = [
+        Demand(job.claim, job.work, _value_density(job), job.latest_start_ms() >= now_ms)
+        for job in jobs
+    ]
+    if len(by_value.timely) == sum(demand.timely for demand in demands):
+        return by_value
+    ranked = sharing.rank(demands, rate, now_ms)
+    whole = sharing.rules.whole
+    if ranked is None:
+        planned = _plan_by_rank(jobs, rate, now_ms, _value_density, whole)
+    else:
+        ranks = {job.name: rank for job, rank in zip(jobs, ranked, strict=True)}
+        planned = _plan_by_rank(jobs, rate, now_ms, lambda job: ranks[job.name], whole)
+    claims = {job.name: job.claim for job in jobs}
+    kept = [claims[name] for name in by_value.infeasible if name not in set(planned.infeasible)]
+    for name in set(planned.infeasible) - set(by_value.infeasible):
+        planned.displaced[name] = sharing.explain(claims[name], kept)
+    return planned
+
+
+def _value_density(job: WaitingJob) -> float:
+    return job.value / max(job.work, 1.0)
+
+
+def _plan_by_rank(
+    jobs: Sequence[WaitingJob],
+    rate: float,
+    now_ms: float,
+    rank: Callable[[WaitingJob], float | Rank],
+    whole: bool = False,
+) -> Plan:
     startable: list[WaitingJob] = []
     past_latest_start: list[WaitingJob] = []
     for job in jobs:
         (startable if job.latest_start_ms() >= now_ms else past_latest_start).append(job)
     timely, deferred = _select_feasible(
-        [(job.latest_start_ms(), job) for job in startable], rate, now_ms
+        [(job.latest_start_ms(), job) for job in startable], rate, now_ms, rank, whole
     )
     # The plan assumes that late jobs start after all timely ones, although `Placer` first serves
     # the late jobs that have started.
@@ -115,6 +162,8 @@
         [(job.latest_useful_start_ms(), job) for job in past_latest_start + deferred],
         rate,
         begin_ms,
+        rank,
+        whole,
     )
     return Plan(
         [job.name for job in timely],
@@ -124,14 +173,19 @@
 
 
 def _select_feasible(
-    jobs: Sequence[tuple[float, WaitingJob]], rate: float, begin_ms: float
+    jobs: Sequence[tuple[float, WaitingJob]],
+    rate: float,
+    begin_ms: float,
+    rank: Callable[[WaitingJob], float | Rank],
+    whole: bool,
 ) -> tuple[list[WaitingJob], list[WaitingJob]]:
     """Return the jobs that can start by the paired latest start, in that order, and the others.
 
-    When a job would start too late, jobs are dropped in the order of their value per unit of work
-    until it no longer does.
+    When a job would start too late, jobs are dropped in the order of ``rank``, lowest first, until
+    it no longer does. With ``whole``, all tasks of a job that has not started must start in time,
+    and otherwise only the first.
     """
-    selected: list[tuple[float, int, WaitingJob]] = []
+    selected: list[tuple[Any, int, WaitingJob]] = []
     dropped: set[int] = set()
     clock_ms = begin_ms
     ordered = sorted(jobs, key=lambda pair: pair[0])
@@ -139,14 +193,24 @@
         if start_by_ms < begin_ms:
             dropped.add(number)
             continue
-        heapq.heappush(selected, (job.value / max(job.work, 1.0), number, job))
+        heapq.heappush(selected, (rank(job), number, job))
         duration_ms = job.work / rate if rate > 0 else float("inf")
         clock_ms += duration_ms
-        # The wait of a job's first task doesn't include the work of the job itself.
-        while selected and clock_ms - duration_ms > start_by_ms:
-            _, least, worst = heapq.heappop(selected)
-            dropped.add(least)
-            clock_ms -= worst.work / rate if rate > 0 else float("inf")
+        # The wait of a job's first task doesn't include the work of the job itself, and that of its
+        # last task doesn't include the task.
+        last = job.tasks if not whole or job.started else 1
+        popped: list[tuple[Any, int, WaitingJob]] = []
+        while selected and clock_ms - duration_ms * last / job.tasks > start_by_ms:
+            least = heapq.heappop(selected)
+            popped.append(least)
+            clock_ms -= least[2].work / rate if rate > 0 else float("inf")
+        if whole and popped and popped[-1][1] == number:
+            # The others fit without this job, so none of them needs to be dropped for it.
+            for least in popped[:-1]:
+                heapq.heappush(selected, least)
+                clock_ms += least[2].work / rate if rate > 0 else float("inf")
+            del popped[:-1]
+        dropped.update(least[1] for least in popped)
     kept = [job for number, (_, job) in enumerate(ordered) if number not in dropped]
     return kept, [job for number, (_, job) in enumerate(ordered) if number in dropped]
 
--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -8,6 +8,7 @@
 from .ids import UpstreamId
 from .job import JobSpec, Queue, ResourceVector
 from .jobqueue import Timing
+from .sharing import SizeClass
 
 
 @dataclass(slots=True)
@@ -60,6 +61,7 @@
     started: bool = False
     work: float = 0.0
     value: float = 1.0
+    size: SizeClass = SizeClass.REST
 
     def step_done(self, step: int) -> bool:
         """Return whether all tasks of the step are done."""
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -15,12 +15,13 @@
 from .agentview import AgentView
 from .crashes import CrashCounts
 from .ids import ScopedKey, ServiceName, UpstreamId
-from .job import JobRefused, RunEnd, StepSpec
-from .jobqueue import RATE_WINDOW_MS, StartedWorkRate, WaitingJob, plan, retry_after_ms
+from .job import JobEnded, JobOutcome, JobRefused, JobState, RunEnd, StepSpec
+from .jobqueue import RATE_WINDOW_MS, Plan, StartedWorkRate, WaitingJob, plan, retry_after_ms
 from .jobstate import Job, Task
 from .matching import Candidate, CandidatePool, TaskRequirements, may_run
 from .outlier import Health, OutlierDetector
 from .runmessage import RunSlow
+from .sharing import Claim, RefusalCause, Sharing
 
 MIN_SATURATION_MS = 300.0
 """Time for which tasks must have been waiting without interruption before jobs are refused. Shorter
@@ -70,11 +71,13 @@
         start: Callable[[Task, Candidate, float], None],
         refuse: Callable[[Job, JobRefused, float], None],
         log: Callable[..., None],
+        sharing: Sharing | None = None,
     ) -> None:
         self.zones_out: frozenset[str] = frozenset()
         self.demand_cpu_milli = 0
         """CPU needed by the waiting tasks of timely jobs and of late jobs that have started, in
         thousandths of a core."""
+        self.sharing = sharing or Sharing()
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
@@ -127,7 +130,7 @@
         rate = self._estimate_start_rate(views, now_ms)
         slowness = _median([view.report.slowness for view in views])
         waiting = [self._summarize_job(tasks, slowness) for tasks in jobs.values()]
-        planned = plan(waiting, rate, now_ms)
+        planned = plan(waiting, rate, now_ms, self.sharing)
         pool = self._make_pool(views, now_ms)
         # Late jobs that have started come first: little of their work remains, and abandoning them
         # would waste the work already done.
@@ -150,40 +153,46 @@
             # The round may follow the first report of an upstream, before the next tick.
             self._check_capacity_growth(now_ms)
         if now_ms >= self._refuse_after_ms:
-            self._refuse_infeasible(planned.infeasible, jobs, waiting, rate, views, now_ms)
+            self._refuse_infeasible(planned, jobs, waiting, rate, views, now_ms)
 
     def _refuse_infeasible(
         self,
-        names: list[str],
+        planned: Plan,
         jobs: Mapping[str, list[Task]],
         waiting: list[WaitingJob],
         rate: float,
         views: list[AgentView],
         now_ms: float,
     ) -> None:
-        """Refuse the jobs ``names`` that have not started.
+        """Refuse the infeasible jobs of ``planned`` that have not started.
 
         A job that can still end before its expiry time is refused only if there are usable
         upstreams and tasks have been waiting for `MIN_SATURATION_MS`.
         """
         saturated = views and now_ms - self._saturated_since_ms >= MIN_SATURATION_MS
-        for name in names:
+        for name in planned.infeasible:
             job = jobs[name][0].job
             expired = now_ms + job.timing.chain_ms > job.timing.expiry_ms
             if job.started or not (saturated or expired):
                 continue
+            cause = planned.displaced.get(name, RefusalCause.ROOM)
             wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
             retry_ms = retry_after_ms(wait_ms, self._rng.random())
             self._log(
                 "no room for a job",
                 job=name,
+                queue=job.queue.name,
+                priority=job.queue.priority,
+                size=job.size.value,
+                reason=cause.value,
                 backlog_ms=round(wait_ms),
                 rate=round(rate, 1),
                 waiting_jobs=len(waiting),
                 upstreams=len(views),
                 retry_after_ms=round(retry_ms),
             )
-            self._refuse(job, JobRefused("no room in time", retry_ms, True), now_ms)
+            refusal = JobRefused("no room in time", retry_ms, True, cause.value)
+            self._refuse(job, refusal, now_ms)
 
     def _make_pool(self, views: list[AgentView], now_ms: float) -> CandidatePool:
         """Return the candidates for placement: the active upstreams.
@@ -230,7 +239,10 @@
             # The whole critical path, also when some steps are done, and without the slowness.
             remaining_ms = job.timing.chain_ms
         work = sum(step.estimate_ms * step.resources.cpu_milli / 1000 for step in steps)
-        return WaitingJob(job.spec.job, job.timing, remaining_ms, work, job.value, job.started)
+        claim = Claim(job.queue.name, job.queue.priority, job.size)
+        return WaitingJob(
+            job.spec.job, job.timing, remaining_ms, work, job.value, job.started, claim, len(tasks)
+        )
 
     def _start_tasks(
         self,
@@ -258,6 +270,8 @@
             if candidate is not None:
                 pool.allocate(candidate, step.resources)
                 self._start_run(task, candidate, now_ms)
+                work = step.estimate_ms * step.resources.cpu_milli / 1000
+                self.sharing.add_start(task.job.queue.name, work, now_ms)
 
     def must_run_apart(self, task: Task, now_ms: float) -> bool:
         """Return whether ``task`` is a suspect that may not run beside another one yet.
@@ -346,6 +360,13 @@
         """Add the start of a task of ``step`` to the measured rate of started work."""
         self._rate.add(step.estimate_ms * step.resources.cpu_milli / 1000, now_ms)
 
+    def record_job_end(self, job: Job, outcome: JobOutcome, now_ms: float) -> None:
+        """Add the outcome of a job that was completed or refused for lack of capacity."""
+        completed = isinstance(outcome, JobEnded) and outcome.state is JobState.COMPLETED
+        if completed or (isinstance(outcome, JobRefused) and outcome.busy):
+            in_time = completed and now_ms <= job.timing.due_ms
+            self.sharing.add_outcome(job.queue.name, job.size, in_time, now_ms)
+
     def record_run_end(self, task: Task, view: AgentView, how: RunEnd, now_ms: float) -> None:
         """Update the health of the upstream after the end of a run.
 
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -263,6 +263,7 @@
             job.work += step.count * step.estimate_ms * step.resources.cpu_milli / 1000
         self._arrivals.add(queue.name, job.work, now_ms)
         job.value = self._arrivals.value(queue.name, job.work)
+        job.size = self._placer.sharing.add_arrival(queue.name, job.work)
         self._jobs[spec.job] = job
         self._by_request[request] = job
         self.counters.accepted += 1
@@ -312,6 +313,7 @@
 
     def _end_job(self, job: Job, outcome: JobOutcome, now_ms: float) -> None:
         elapsed_ms = now_ms - job.timing.arrived_ms
+        self._placer.record_job_end(job, outcome, now_ms)
         match outcome:
             case JobEnded(state=JobState.COMPLETED):
                 self.counters.completed += 1
