--- a/snipewell/jobqueue.py
+++ b/snipewell/jobqueue.py
@@ -204,6 +204,8 @@
             least = heapq.heappop(selected)
             popped.append(least)
             clock_ms -= least[2].work / rate if rate > 0 else float("inf")
+            if whole and least[1] == number:
+                break
         if whole and popped and popped[-1][1] == number:
             # The others fit without this job, so none of them needs to be dropped for it.
             for least in popped[:-1]:
--- a/snipewell/sharing.py
+++ b/snipewell/sharing.py
@@ -1,10 +1,10 @@
-"""Sharing of scarce capacity between queues, and job sizes, without any I/O.
+"""Sharing of scarce capacity between queues and job sizes, without any I/O.
 
 The rules apply only in a shortage, when not all waiting jobs can start by their latest start. Each
 queue is then guaranteed half of an equal share of the started work, and the rest goes to the jobs
 of the greatest value, which is weighted by the priority of their queue. A size class that was
-served in time much less often than its whole queue comes before other jobs. All state is kept by
-the entry in memory; an entry without history guarantees equal shares and protects no size class.
+served in time less than half as often as its whole queue comes before other jobs. All state is kept
+by the entry in memory; an entry without history guarantees equal shares and protects no size class.
 """
 
 from __future__ import annotations
@@ -26,9 +26,8 @@
 """Age at which an outcome has half its weight. The largest tenth of a queue has few outcomes."""
 MIN_OUTCOMES = 3.0
 """Weight of the outcomes of a size class from which it can be protected."""
-MIN_SERVED_RATIO = 0.75
-"""Share of jobs in time, relative to that of the queue, below which a size class is protected. A
-class must not fall below 0.5, and outcomes are known only when jobs end."""
+MIN_SERVED_RATIO = 0.5
+"""Share of jobs in time, relative to that of the queue, below which a size class is protected."""
 RECENT_SIZES = 100
 """Number of recent jobs of a queue that define its size classes."""
 MIN_SIZES = 20
