--- a/snipewell/jobstate.py
+++ b/snipewell/jobstate.py
@@ -8,6 +8,7 @@
 from .ids import UpstreamId
 from .job import JobSpec, Queue, ResourceVector
 from .jobqueue import Timing
+from .sharing import SizeClass
 
 
 @dataclass(slots=True)
@@ -74,6 +75,7 @@
     value: float = 1.0
     step_racks: dict[int, str] = field(default_factory=dict)
     """Rack chosen for each step with ``sameRack``, empty if its tasks are split."""
+    size: SizeClass = SizeClass.REST
 
     def step_done(self, step: int) -> bool:
         """Return whether all tasks of the step are done."""
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -17,14 +17,15 @@
 from .departure import STOP_MS, DepartureMoves, LeavingRun, Move, Stay
 from .duration import DurationModel
 from .ids import ScopedKey, ServiceName, UpstreamId
-from .job import JobRefused, RunEnd, StepSpec
-from .jobqueue import RATE_WINDOW_MS, StartedWorkRate, WaitingJob, plan, retry_after_ms
+from .job import JobEnded, JobOutcome, JobRefused, JobState, RunEnd, StepSpec
+from .jobqueue import RATE_WINDOW_MS, Plan, StartedWorkRate, WaitingJob, plan, retry_after_ms
 from .jobstate import Job, Task
 from .matching import Candidate, CandidatePool, TaskRequirements, may_run
 from .outlier import Health, OutlierDetector
 from .placedtasks import PlacedTasks
 from .reach import Shortage, measure_shortage
 from .runmessage import RunSlow
+from .sharing import Claim, RefusalCause, Sharing
 
 MIN_SATURATION_MS = 300.0
 """Time for which tasks must have been waiting without interruption before jobs are refused. Shorter
@@ -78,6 +79,7 @@
         refuse: Callable[[Job, JobRefused, float], None],
         log: Callable[..., None],
         place_waits: bool = True,
+        sharing: Sharing | None = None,
     ) -> None:
         self.zones_out: frozenset[str] = frozenset()
         self.demand_cpu_milli = 0
@@ -85,6 +87,7 @@
         thousandths of a core."""
         self.shortage = Shortage()
         """What the last round left waiting."""
+        self.sharing = sharing or Sharing()
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
@@ -144,7 +147,7 @@
         rate = self._estimate_start_rate(views, now_ms)
         slowness = _median([view.report.slowness for view in views])
         waiting = [self._summarize_job(tasks, slowness) for tasks in jobs.values()]
-        planned = plan(waiting, rate, now_ms)
+        planned = plan(waiting, rate, now_ms, self.sharing)
         pool = self._make_pool(views, now_ms)
         # Late jobs that have started come first: little of their work remains, and abandoning them
         # would waste the work already done.
@@ -167,41 +170,47 @@
             # The round may follow the first report of an upstream, before the next tick.
             self._check_capacity_growth(now_ms)
         if now_ms >= self._refuse_after_ms:
-            self._refuse_infeasible(planned.infeasible, jobs, waiting, rate, views, now_ms)
+            self._refuse_infeasible(planned, jobs, waiting, rate, views, now_ms)
 
     def _refuse_infeasible(
         self,
-        names: list[str],
+        planned: Plan,
         jobs: Mapping[str, list[Task]],
         waiting: list[WaitingJob],
         rate: float,
         views: list[AgentView],
         now_ms: float,
     ) -> None:
-        """Refuse the jobs ``names`` that have not started.
+        """Refuse the infeasible jobs of ``planned`` that have not started.
 
         A job that can still end before its expiry time is refused only if there are usable
         upstreams and tasks have been waiting for `MIN_SATURATION_MS`.
         """
         saturated = views and now_ms - self._saturated_since_ms >= MIN_SATURATION_MS
-        for name in names:
+        for name in planned.infeasible:
             job = jobs[name][0].job
             chain_ms = job.timing.chain_ms * self._durations.correction(job.queue.name)
             expired = now_ms + chain_ms > job.timing.expiry_ms
             if job.started or not (saturated or expired):
                 continue
+            cause = planned.displaced.get(name, RefusalCause.ROOM)
             wait_ms = sum(each.work for each in waiting) / max(rate, 1e-6)
             retry_ms = retry_after_ms(wait_ms, self._rng.random())
             self._log(
                 "no room for a job",
                 job=name,
+                queue=job.queue.name,
+                priority=job.queue.priority,
+                size=job.size.value,
+                reason=cause.value,
                 backlog_ms=round(wait_ms),
                 rate=round(rate, 1),
                 waiting_jobs=len(waiting),
                 upstreams=len(views),
                 retry_after_ms=round(retry_ms),
             )
-            self._refuse(job, JobRefused("no room in time", retry_ms, True), now_ms)
+            refusal = JobRefused("no room in time", retry_ms, True, cause.value)
+            self._refuse(job, refusal, now_ms)
 
     def _make_pool(self, views: list[AgentView], now_ms: float) -> CandidatePool:
         """Return the candidates for placement: the active upstreams.
@@ -252,7 +261,10 @@
                 1.0 if correction == 1.0 else correction * slowness
             )
         work = sum(self._estimate_work(job, step) for step in steps)
-        return WaitingJob(job.spec.job, job.timing, remaining_ms, work, job.value, job.started)
+        claim = Claim(job.queue.name, job.queue.priority, job.size)
+        return WaitingJob(
+            job.spec.job, job.timing, remaining_ms, work, job.value, job.started, claim, len(tasks)
+        )
 
     def _estimate_work(self, job: Job, step: StepSpec) -> float:
         """Return the expected work of one task of ``step``, in core-milliseconds."""
@@ -296,6 +308,8 @@
                 pool.allocate(candidate, step.resources)
                 self._places.on_start(task, candidate, now_ms)
                 self._start_run(task, candidate, now_ms)
+                work = self._estimate_work(task.job, step)
+                self.sharing.add_start(task.job.queue.name, work, now_ms)
 
     def must_run_apart(self, task: Task, now_ms: float) -> bool:
         """Return whether ``task`` is a suspect that may not run beside another one yet.
@@ -405,6 +419,13 @@
         """Add the start of a task of ``step`` to the measured rate of started work."""
         self._rate.add(self._estimate_work(job, step), now_ms)
 
+    def record_job_end(self, job: Job, outcome: JobOutcome, now_ms: float) -> None:
+        """Add the outcome of a job that was completed or refused for lack of capacity."""
+        completed = isinstance(outcome, JobEnded) and outcome.state is JobState.COMPLETED
+        if completed or (isinstance(outcome, JobRefused) and outcome.busy):
+            in_time = completed and now_ms <= job.timing.due_ms
+            self.sharing.add_outcome(job.queue.name, job.size, in_time, now_ms)
+
     def record_run_end(self, task: Task, view: AgentView, how: RunEnd, now_ms: float) -> None:
         """Update the health of the upstream after the end of a run.
 
