--- a/snipewell/matching.py
+++ b/snipewell/matching.py
@@ -133,7 +133,7 @@
         If the task avoids all candidates, because its runs failed, were lost or were slow there, it
         may start on any.
         """
-        if not requirements.step.resources.fits(self._find_max_available()):
+        if not self.may_fit(requirements.step.resources):
             return None
         if requirements.avoid and self._names <= set(requirements.avoid):
             requirements = replace(requirements, avoid=())
@@ -184,6 +184,10 @@
             self._has_reserve = any(candidate.has_reserve() for candidate in self._by_speed)
         return self._has_reserve
 
+    def may_fit(self, resources: ResourceVector) -> bool:
+        """Return whether ``resources`` don't exceed the maximum of each free resource."""
+        return resources.fits(self._find_max_available())
+
     def _find_max_available(self) -> ResourceVector:
         """Return the maximum of each free resource over all candidates.
 
--- a/snipewell/placedtasks.py
+++ b/snipewell/placedtasks.py
@@ -8,12 +8,10 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import asdict, dataclass, field, replace
-from functools import cached_property
+from dataclasses import asdict, replace
 from random import Random
 
-from .agentsession import SUSPECT_AFTER_MS
-from .forecast import UpstreamForecast, median_slowness, merge_ends
+from .forecast import UpstreamForecast, median_slowness
 from .ids import UpstreamId
 from .jobstate import Task
 from .locality import (
@@ -29,48 +27,17 @@
     StartNear,
     WaitNear,
     choose_group,
-    count_step_runs,
     decide_place,
     rack_labels,
     tail_ms,
     wait_cost,
 )
 from .matching import RESERVE_SHARE, Candidate, CandidatePool, TaskRequirements
+from .placeround import PlaceRound
 
 FindProbe = Callable[[TaskRequirements], Candidate | None]
 
 
-@dataclass
-class _Round:
-    """State of one round of placement for one service, as far as its tasks need it."""
-
-    pool: CandidatePool
-    now_ms: float
-    runs: Mapping[tuple[str, int], Task]
-    forecasts: dict[str, UpstreamForecast] = field(default_factory=dict)
-    groups: dict[str, GroupRack | GroupSplit | None] = field(default_factory=dict)
-    step_runs: dict[str, Counter[UpstreamId]] = field(default_factory=dict)
-    contended: set[str] = field(default_factory=set)
-    """Racks for which a task waits that would be late anywhere else."""
-
-    @cached_property
-    def load(self) -> float:
-        """Share of the CPU of the candidates in use at the first call of the round."""
-        capacity = sum(each.view.report.capacity.cpu_milli for each in self.pool.candidates)
-        free = sum(max(0, each.available.cpu_milli) for each in self.pool.candidates)
-        return 1 - min(1.0, free / capacity) if capacity else 1.0
-
-    @cached_property
-    def own_ends(self) -> dict[str, list[tuple[float, int]]]:
-        """Expected ends and CPU of the entry's own runs by the peer name of their agent."""
-        ends: dict[str, list[tuple[float, int]]] = {}
-        for task in self.runs.values():
-            if task.view is not None:
-                end = (task.expected_end_ms, task.resources.cpu_milli)
-                ends.setdefault(task.view.peer, []).append(end)
-        return ends
-
-
 class PlacedTasks:
     """Selects upstreams for the waiting tasks that name a place.
 
@@ -88,33 +55,27 @@
     ) -> None:
         self.held: set[str] = set()
         """Names of the tasks that wait by decision, as of the last round of their service."""
+        self._has_probes = False
         self._runs = runs
         self._place_factor = place_factor
         self._waits = waits
         self._log = log
-        self._round = _Round(CandidatePool([], Random(0)), float("-inf"), runs)
+        self._round = PlaceRound(CandidatePool([], Random(0)), float("-inf"), runs)
 
-    def begin_round(self, pool: CandidatePool, now_ms: float) -> None:
-        """Begin a round of placement with the candidates in ``pool``."""
-        self._round = _Round(pool, now_ms, self._runs)
+    def begin_round(self, pool: CandidatePool, has_probes: bool, now_ms: float) -> None:
+        """Begin a round of placement with the candidates in ``pool``.
+
+        ``has_probes`` tells whether upstreams outside the pool need a probe.
+        """
+        self._has_probes = has_probes
+        self._round = PlaceRound(pool, now_ms, self._runs)
 
     def find_full(self, task: Task) -> set[UpstreamId]:
         """Return the upstreams with as many tasks of the step as its anti-affinity permits."""
         limit = task.job.spec.steps[task.step].max_per_upstream
-        counts = self._step_runs(task)
+        counts = self._round.count_runs(task)
         return {upstream for upstream, count in counts.items() if count >= limit}
 
-    def _step_runs(self, task: Task) -> Counter[UpstreamId]:
-        step = task.name.rpartition("/")[0]
-        if step not in self._round.step_runs:
-            runs = [
-                (name, other.view.upstream)
-                for (name, _), other in self._runs.items()
-                if other.view is not None
-            ]
-            self._round.step_runs[step] = count_step_runs(runs, step)
-        return self._round.step_runs[step]
-
     def on_start(self, task: Task, candidate: Candidate, now_ms: float) -> None:
         """Update the state of the round and of the task for its start on ``candidate``."""
         step = task.name.rpartition("/")[0]
@@ -134,6 +95,10 @@
         """
         racks: dict[str, list[int]] = {}
         for position, task in enumerate(tasks):
+            has_place = task.job.spec.steps[task.step].has_place()
+            # The order of tasks doesn't matter while none of them can start.
+            if not has_place or not self._round.pool.may_fit(task.resources):
+                continue
             rack = self._near_rack(task)
             if rack:
                 racks.setdefault(rack, []).append(position)
@@ -148,7 +113,7 @@
     def _near_rack(self, task: Task) -> str:
         """Return the near rack of a task, or an empty string."""
         step = task.job.spec.steps[task.step]
-        group = self._choose_group(task) if step.has_place() else None
+        group = self._choose_group(task)
         return group.rack if isinstance(group, GroupRack) else step.near_rack
 
     def _wait_cost(self, task: Task) -> float:
@@ -165,9 +130,11 @@
         needs a probe. Sets ``task.near`` for the start.
         """
         pool, now_ms = self._round.pool, self._round.now_ms
+        task.near = None
+        if not pool.may_fit(requirements.step.resources) and not self._has_probes:
+            return None
         group = self._choose_group(task)
         rack = group.rack if isinstance(group, GroupRack) else requirements.step.near_rack
-        task.near = None
         if not rack and group is None:
             # No upstream has the label of a rack, so the group can't be placed by racks.
             return probe(requirements) or pool.find(requirements)
@@ -189,7 +156,7 @@
         if near is None or (probed is None and near.slowness > factor * fastest):
             far = self._find_far(task, bounded, due_in_ms, rack, factor, probe)
         placed = self._summarize(task)
-        forecasts = self._forecasts(pool.on_rack(rack), requirements)
+        forecasts = self._round.forecast_all(pool.on_rack(rack), requirements)
         place = self._describe_near(placed, requirements, near, forecasts)
         place = replace(place, contended=rack in self._round.contended)
         far_place = FarPlace(far.slowness, self._round.load) if far is not None else None
@@ -336,34 +303,6 @@
             **inputs,
         )
 
-    def _forecasts(
-        self, candidates: Sequence[Candidate], requirements: TaskRequirements | None = None
-    ) -> list[UpstreamForecast]:
-        """Return the forecasts of the upstreams that may run the task, by recent reports."""
-        found = []
-        for candidate in candidates:
-            view = candidate.view
-            if self._round.now_ms - view.channel.last_seen_ms > SUSPECT_AFTER_MS:
-                continue
-            if requirements is not None and not requirements.permits(candidate):
-                continue
-            if view.peer not in self._round.forecasts:
-                self._round.forecasts[view.peer] = self._forecast(candidate)
-            found.append(self._round.forecasts[view.peer])
-        return found
-
-    def _forecast(self, candidate: Candidate) -> UpstreamForecast:
-        view, now_ms = candidate.view, self._round.now_ms
-        reported = [(view.report_ms + in_ms, cpu) for cpu, in_ms in view.report.ends]
-        return UpstreamForecast.from_ends(
-            view.upstream,
-            view.report.capacity.cpu_milli,
-            candidate.available.cpu_milli,
-            candidate.slowness,
-            merge_ends(reported, self._round.own_ends.get(view.peer, [])),
-            now_ms,
-        )
-
     def _choose_group(self, task: Task) -> GroupRack | GroupSplit | None:
         """Return the rack or the split of a step with ``sameRack``, None for any other step.
 
@@ -380,13 +319,21 @@
             rack = task.job.step_racks.get(task.step, "")
             if rack and all(other.near for other in active):
                 return GroupRack(rack, self._round.now_ms)
-            return GroupSplit(())
+            return GroupSplit(self._racks_by_room())
         if key not in self._round.groups:
             self._round.groups[key] = self._choose_rack(task)
         choice = self._round.groups[key]
         task.job.step_racks[task.step] = choice.rack if isinstance(choice, GroupRack) else ""
         return choice
 
+    def _racks_by_room(self) -> tuple[str, ...]:
+        """Return the racks, those with the most free CPU first."""
+        room: Counter[str] = Counter()
+        for candidate in self._round.pool.candidates:
+            for rack in rack_labels(candidate.view.report.labels):
+                room[rack] += max(0, candidate.available.cpu_milli)
+        return tuple(rack for rack, _ in room.most_common())
+
     def _choose_rack(self, task: Task) -> GroupRack | GroupSplit | None:
         step = task.job.spec.steps[task.step]
         candidates: dict[str, list[Candidate]] = {}
@@ -397,13 +344,15 @@
         if not candidates:
             return GroupRack(step.near_rack, self._round.now_ms) if step.near_rack else None
         requirements = TaskRequirements(step)
-        racks = {rack: self._forecasts(each, requirements) for rack, each in candidates.items()}
+        racks = {
+            rack: self._round.forecast_all(each, requirements) for rack, each in candidates.items()
+        }
         group = Group(
             self._summarize(task),
             step.count,
             self._round.load,
             step.max_per_upstream,
-            self._step_runs(task) if step.max_per_upstream else {},
+            self._round.count_runs(task) if step.max_per_upstream else {},
         )
         return choose_group(racks, group, self._round.now_ms, self._waits)
 
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -140,7 +140,7 @@
         # Late jobs that have started come first: little of their work remains, and abandoning them
         # would waste the work already done.
         started = [name for name in planned.late if jobs[name][0].job.started]
-        self._places.begin_round(pool, now_ms)
+        self._places.begin_round(pool, bool(self._probing), now_ms)
         self._start_tasks([task for name in started for task in jobs[name]], pool, now_ms)
         timely = [task for name in planned.timely for task in jobs[name]]
         self._start_tasks(timely, pool, now_ms, timely=True)
