--- a/snipewell/locality.py
+++ b/snipewell/locality.py
@@ -34,6 +34,7 @@
     DUE = "only this place meets the due time"
     COST = "lower cost"
     SPLIT = "group is split"
+    PROBE = "probe of an upstream"
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/placedtasks.py
+++ b/snipewell/placedtasks.py
@@ -154,13 +154,20 @@
         factor = self._factor(task)
         fastest = pool.candidates[0].slowness if pool.candidates else 1.0
         if near is None or (probed is None and near.slowness > factor * fastest):
-            far = self._find_far(task, bounded, due_in_ms, rack, factor, probe)
+            far = self._find_far(task, bounded, due_in_ms, rack, factor)
+        far_probe = None
+        if near is None and far is None:
+            far_probe = probe(replace(bounded, away_from=rack, duration_factor=factor))
+            far = far_probe
         placed = self._summarize(task)
         forecasts = self._round.forecast_all(pool.on_rack(rack), requirements)
         place = self._describe_near(placed, requirements, near, forecasts)
         place = replace(place, contended=rack in self._round.contended)
         far_place = FarPlace(far.slowness, self._round.load) if far is not None else None
         decision = decide_place(placed, place, far_place, now_ms, self._waits)
+        if far_probe is not None:
+            # The upstream is claimed for this task, and a probe without a run would be lost.
+            decision = StartFar(Reason.PROBE, decision.inputs)
         self._record(task, rack, decision, placed, forecasts)
         match decision:
             case StartNear():
@@ -180,7 +187,6 @@
         due_in_ms: float,
         rack: str,
         factor: float,
-        probe: FindProbe,
     ) -> Candidate | None:
         """Return an upstream of another rack.
 
@@ -196,7 +202,7 @@
             found = pool.find(in_time)
         if found is None and due_in_ms < float("inf"):
             found = pool.find(late) if pool.has_reserve() or not late.require_reserve else None
-        return found or probe(far)
+        return found
 
     def _find_split(
         self,
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -33,6 +33,7 @@
     decide_place,
 )
 from snipewell.matching import RESERVE_SHARE, Candidate
+from snipewell.outlier import Health
 from snipewell.placer import Placer
 from snipewell.runmessage import Report, StartRun, UpstreamReport
 
@@ -302,6 +303,25 @@
     assert fleet.logs[-1]["reason"] == Reason.UNUSABLE.value
 
 
+def test_a_task_that_could_wait_probes_a_far_upstream(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A claimed probe that doesn't start would keep an ejected upstream out of service."""
+    fleet = Fleet(racks=2)
+    fill(fleet, "r0", 100.0)
+    ejected = {view.upstream for view in fleet.views[UPSTREAMS:]}
+    monkeypatch.setattr(
+        fleet.placer._outliers,
+        "health",
+        lambda upstream: Health.PROBING if upstream in ejected else Health.ACTIVE,
+    )
+    monkeypatch.setattr(fleet.placer._outliers, "may_probe", lambda *args: True)
+    probes: list[str] = []
+    monkeypatch.setattr(fleet.placer._outliers, "on_probe", lambda name, now: probes.append(name))
+    job = fleet.submit(near_step("r0"))
+    fleet.place()
+    assert fleet.started[job.tasks[0][0].name] == (0.0, False)
+    assert len(probes) == 1
+
+
 def racks_of(fleet: Fleet, job: Job) -> Counter[str]:
     return Counter(task.view.report.labels[1] for task in job.tasks[0] if task.view is not None)
 
