--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -37,6 +37,7 @@
     BUSY_TASK,
     NO_CAPACITY,
     NO_UPSTREAM,
+    STEP_LIMIT,
     SUSPECT_RUNNING,
     EntryFrame,
     RunEnded,
@@ -652,6 +653,11 @@
         if order.apart and any(run.order.crashes for run in self._runs.values()):
             # A crash would not show which of the two caused it.
             return SUSPECT_RUNNING
+        if order.max_per_upstream:
+            step = order.task.rpartition("/")[0]
+            runs = sum(task.rpartition("/")[0] == step for task, _ in self._runs)
+            if runs >= order.max_per_upstream:
+                return STEP_LIMIT
         if not order.resources.fits(self._free()):
             return NO_CAPACITY
         return ""
--- a/snipewell/job.py
+++ b/snipewell/job.py
@@ -72,6 +72,11 @@
         )
 
 
+MAX_RACK_GROUP = 256
+"""Number of tasks beyond which a step is placed without regard to racks: no rack holds as many, and
+the choice of racks costs time that grows faster than their number."""
+
+
 @dataclass(frozen=True, slots=True)
 class StepSpec:
     """One step of a job: ``count`` equal tasks that start when the steps in ``after`` are done.
@@ -96,7 +101,7 @@
 
     def has_place(self) -> bool:
         """Return whether the duration of the tasks depends on the racks on which they run."""
-        return bool(self.near_rack) or (self.same_rack and self.count > 1)
+        return bool(self.near_rack) or (self.same_rack and 1 < self.count <= MAX_RACK_GROUP)
 
 
 @dataclass(frozen=True, slots=True)
--- a/snipewell/jobqueue.py
+++ b/snipewell/jobqueue.py
@@ -117,12 +117,12 @@
     by_value = _plan_by_rank(jobs, rate, now_ms, _value_density)
     if sharing is None:
         return by_value
+    if len(by_value.timely) == sum(job.latest_start_ms() >= now_ms for job in jobs):
+        return by_value
     demands = [
         Demand(job.claim, job.work, _value_density(job), job.latest_start_ms() >= now_ms)
         for job in jobs
     ]
-    if len(by_value.timely) == sum(demand.timely for demand in demands):
-        return by_value
     ranked = sharing.rank(demands, rate, now_ms)
     whole = sharing.rules.whole
     if ranked is None:
@@ -131,8 +131,9 @@
         ranks = {job.name: rank for job, rank in zip(jobs, ranked, strict=True)}
         planned = _plan_by_rank(jobs, rate, now_ms, lambda job: ranks[job.name], whole)
     claims = {job.name: job.claim for job in jobs}
-    kept = [claims[name] for name in by_value.infeasible if name not in set(planned.infeasible)]
-    for name in set(planned.infeasible) - set(by_value.infeasible):
+    infeasible = set(planned.infeasible)
+    kept = [claims[name] for name in by_value.infeasible if name not in infeasible]
+    for name in infeasible.difference(by_value.infeasible):
         planned.displaced[name] = sharing.explain(claims[name], kept)
     return planned
 
--- a/snipewell/placedtasks.py
+++ b/snipewell/placedtasks.py
@@ -94,6 +94,8 @@
 
         They exchange their positions among each other only.
         """
+        if not any(task.job.spec.steps[task.step].has_place() for task in tasks):
+            return tasks
         racks: dict[str, list[int]] = {}
         for position, task in enumerate(tasks):
             has_place = task.job.spec.steps[task.step].has_place()
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -286,6 +286,8 @@
         """
         for task in self._places.order(tasks):
             step = task.job.spec.steps[task.step]
+            if not self._probing and not pool.may_fit(step.resources):
+                continue
             excluded = self._find_with_suspects(now_ms) if self.must_run_apart(task, now_ms) else ()
             if step.max_per_upstream:
                 excluded = {*excluded, *self._places.find_full(task)}
--- a/snipewell/run.py
+++ b/snipewell/run.py
@@ -24,7 +24,7 @@
 percents."""
 MAX_FACTOR = 100.0
 """Bound of the ratio of the expected duration to the estimate, in both directions; one beyond it is
-malformed."""
+malformed and ignored."""
 SLOW_REPORT_MS = 300.0
 """Shortest interval between two reports of the same slow run."""
 
@@ -88,7 +88,8 @@
     def expected_ms(self) -> float:
         """Duration of the run that its entry expects on an ordinary upstream."""
         factor = self.order.expected_factor
-        return self.order.estimate_ms * min(max(factor, 1 / MAX_FACTOR), MAX_FACTOR)
+        # The comparison is false for NaN too.
+        return self.order.estimate_ms * (factor if 1 / MAX_FACTOR <= factor <= MAX_FACTOR else 1.0)
 
     def projected_duration_ms(self, now_ms: float) -> float:
         """Return the total duration of the run, projected from its progress.
--- a/snipewell/runmessage.py
+++ b/snipewell/runmessage.py
@@ -9,6 +9,9 @@
 from .decoding import decode_with
 from .job import ResourceVector
 
+STEP_LIMIT = "too many tasks of the step"
+"""Reason of a rejection beyond the anti-affinity of the step, for example while runs of an earlier
+submission of the job are being stopped; it is no sign of a fault of the upstream."""
 NO_CAPACITY = "no room"
 """Reason of a rejection for lack of free resources; it is no sign of a fault of the upstream."""
 BUSY_TASK = "another attempt is being stopped"
@@ -137,6 +140,8 @@
     expected_factor: float = 1.0
     """Ratio of the expected duration on an ordinary upstream to the client's estimate: the
     correction of the queue times the place factor."""
+    max_per_upstream: int = 0
+    """Maximum number of tasks of the step on the upstream, 0 for no limit."""
     placed: bool = False
     """Whether the task names a place, so that entries need the expected ends of runs."""
 
--- a/snipewell/scheduler.py
+++ b/snipewell/scheduler.py
@@ -48,6 +48,7 @@
 from .runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
+    STEP_LIMIT,
     SUSPECT_RUNNING,
     AgentFrame,
     RunEnded,
@@ -570,7 +571,7 @@
                     return
             case RunEnd.REJECTED:
                 self.counters.rejected_starts += 1
-                if ended.reason == BUSY_TASK:
+                if ended.reason in (BUSY_TASK, STEP_LIMIT):
                     task.not_before_ms = now_ms + STOPPING_TASK_PAUSE_MS
                 elif ended.reason == SUSPECT_RUNNING:
                     view.no_suspects_until_ms = now_ms + SUSPECT_PAUSE_MS
@@ -674,6 +675,7 @@
             self._crashes.count(task.name, now_ms),
             self._placer.must_run_apart(task, now_ms),
             self._durations.expected_factor(queue, task.near),
+            step.max_per_upstream,
             task.near is not None,
         )
         self._count_place(task, now_ms)
--- a/snipewell/sharing.py
+++ b/snipewell/sharing.py
@@ -31,6 +31,10 @@
 """Share of jobs in time, relative to that of the queue, below which a size class is protected."""
 RECENT_SIZES = 100
 """Number of recent jobs of a queue that define its size classes."""
+MAX_QUEUES = 256
+"""Number of queues with a history; that of the queue which came first is dropped beyond it."""
+MAX_PRIORITY = 50
+"""Priority from which a further step makes no difference."""
 MIN_SIZES = 20
 """Number of recent jobs from which a size class is assigned: two of them are in the largest
 tenth."""
@@ -130,6 +134,10 @@
         return self._in_time.read(now_ms) / max(self._all.read(now_ms), 1e-9)
 
 
+def _weigh(priority: int) -> float:
+    return PRIORITY_WEIGHT ** -min(max(priority, 0), MAX_PRIORITY)
+
+
 class Sharing:
     """Recent work, sizes and outcomes of each queue, and the ranks derived from them."""
 
@@ -141,7 +149,7 @@
 
     def add_arrival(self, queue: str, work: float) -> SizeClass:
         """Add a job of ``queue`` with ``work`` core-milliseconds, and return its size class."""
-        sizes = self._sizes.setdefault(queue, deque(maxlen=RECENT_SIZES))
+        sizes = self._find_sizes(queue)
         sizes.append(work)
         if len(sizes) < MIN_SIZES:
             return SizeClass.REST
@@ -151,14 +159,31 @@
             return SizeClass.LARGEST
         return SizeClass.LARGE if share <= 0.3 else SizeClass.REST
 
+    def _find_sizes(self, queue: str) -> deque[float]:
+        """Return the recent sizes of ``queue``, and drop the oldest of too many histories.
+
+        Names of queues change with the configuration.
+        """
+        if queue not in self._sizes:
+            if len(self._sizes) >= MAX_QUEUES:
+                oldest = next(iter(self._sizes))
+                del self._sizes[oldest]
+                self._started.pop(oldest, None)
+                for size in (None, *SizeClass):
+                    self._outcomes.pop((oldest, size), None)
+            self._sizes[queue] = deque(maxlen=RECENT_SIZES)
+        return self._sizes[queue]
+
     def add_start(self, queue: str, work: float, now_ms: float) -> None:
         """Add the start of a task of ``queue`` with ``work`` core-milliseconds."""
+        self._find_sizes(queue)
         # A sum with the time constant T has the half-life T ln 2.
         started = self._started.setdefault(queue, _Decayed(SHARE_TIME_MS * 0.693))
         started.add(work, now_ms)
 
     def add_outcome(self, queue: str, size: SizeClass, in_time: bool, now_ms: float) -> None:
         """Add a job that ended or was refused; ``in_time`` is whether it met its objective."""
+        self._find_sizes(queue)
         for key in ((queue, None), (queue, size)):
             self._outcomes.setdefault(key, _Outcomes()).add(in_time, now_ms)
 
@@ -190,7 +215,7 @@
             (
                 0.0,
                 int((each.claim.queue, each.claim.size) in protected),
-                each.value_density * (PRIORITY_WEIGHT**-each.claim.priority if by_priority else 1),
+                each.value_density * (_weigh(each.claim.priority) if by_priority else 1.0),
             )
             for each in demands
         ]
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -27,6 +27,7 @@
 from snipewell.runmessage import (
     BUSY_TASK,
     NO_CAPACITY,
+    STEP_LIMIT,
     SUSPECT_RUNNING,
     AgentBody,
     EntryBody,
@@ -1001,8 +1002,8 @@
     assert max(report.slowness for report in reports) < 1.25
 
 
-@pytest.mark.parametrize("factor", [0.0, -1.0, float("inf"), 1e300])
-def test_a_malformed_expected_factor_is_bounded(factor: float) -> None:
+@pytest.mark.parametrize("factor", [0.0, -1.0, float("inf"), float("nan"), 1e300])
+def test_a_malformed_expected_factor_is_ignored(factor: float) -> None:
     """Guards against arithmetic errors that would end the task of the core."""
     harness = ExecutorHarness()
     harness.open_session()
@@ -1013,3 +1014,15 @@
     harness.core.on_heartbeat(leaving, harness.now)
     harness.advance(300, running=(RunRow("j/0/0", 1, 5.0),))
     assert harness.core.running == 1
+
+
+def test_the_anti_affinity_of_a_step_holds_over_entries() -> None:
+    """Tasks of a resubmitted job started beside runs that another entry was stopping."""
+    harness = ExecutorHarness()
+    harness.open_session()
+    for task in ("j/0/0", "j/0/1", "j/1/0"):
+        order = StartRun(task, 1, "spec", ResourceVector(1_000, 10), 100.0, max_per_upstream=1)
+        harness.send(order)
+    rejected = [body for body in harness.bodies if isinstance(body, RunEnded)]
+    assert [(body.task, body.reason) for body in rejected] == [("j/0/1", STEP_LIMIT)]
+    assert harness.core.running == 2
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -35,7 +35,15 @@
 from snipewell.matching import Candidate
 from snipewell.placer import Placer
 from snipewell.runmessage import UpstreamReport
-from snipewell.sharing import Claim, RefusalCause, Sharing, SharingRules, SizeClass
+from snipewell.sharing import (
+    MAX_QUEUES,
+    Claim,
+    Demand,
+    RefusalCause,
+    Sharing,
+    SharingRules,
+    SizeClass,
+)
 
 PRESENT = SharingRules(False, False, False)
 STRETCH, LATENCY_MS = 1.6, 60.0
@@ -299,3 +307,16 @@
     assert {refusal.cause for refusal in fleet.refused.values()} <= causes
     logged = {line["job"]: line["reason"] for line in fleet.log_fields if "reason" in line}
     assert logged == {name: refusal.cause for name, refusal in fleet.refused.items()}
+
+
+def test_the_history_is_bounded_and_any_priority_can_be_weighed() -> None:
+    """Guards against memory that grows with renamed queues, and an overflow in each round."""
+    sharing = Sharing(SharingRules(priority=True))
+    for number in range(2 * MAX_QUEUES):
+        sharing.add_arrival(str(number), 1.0)
+        sharing.add_start(str(number), 1.0, 0.0)
+        sharing.add_outcome(str(number), SizeClass.REST, True, 0.0)
+    assert len(sharing._sizes) == len(sharing._started) == MAX_QUEUES
+    assert len(sharing._outcomes) == 2 * MAX_QUEUES
+    demands = [Demand(Claim("a", priority), 1.0, 1.0, True) for priority in (-2_000, 0, 10**400)]
+    assert sharing.rank(demands, 1.0, 0.0) is not None
