--- a/snipewell/standins/platformupstream.py
+++ b/snipewell/standins/platformupstream.py
@@ -3,7 +3,8 @@
 It registers with the agent on its VM by heartbeats, grants leases, checks fencing tokens, numbers
 the ends of runs, and can carry out calls late. It records every run, so that a test can compare
 them with the results that the system reports. A specification of the form
-``{"ms": 120, "fail": false}`` sets the duration and the result of a task.
+``{"ms": 120, "fail": false, "rack": "r1"}`` sets the duration and the result of a task, and the
+rack of its data.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 """Time from the order to stop a run to its end."""
 _STEP_INTERVAL_S = 0.005
 """Interval in seconds at which runs advance."""
+_ABSENCE_MS = 1_000.0
+"""Time from the departure of the upstream to the heartbeats of its next incarnation."""
 _LATE_RANGE_MS = (2_000.0, 5_000.0)
 """Bounds of the random delay of a call that is carried out late."""
 
@@ -49,6 +52,7 @@
 
     ms: float = 100.0
     fail: bool = False
+    rack: str = ""
 
 
 @dataclass
@@ -72,7 +76,10 @@
 
 
 class StandInUpstream:
-    """Stand-in for one upstream with a capacity of ``cpu`` thousandths of a core."""
+    """Stand-in for one upstream with a capacity of ``cpu`` thousandths of a core.
+
+    Tasks whose data is on another rack than ``rack`` take ``spread_factor`` times as long.
+    """
 
     def __init__(self, name: str, zone: str, service: str, cpu: int, rng: random.Random) -> None:
         self.name = name
@@ -81,6 +88,8 @@
         self.cpu = cpu
         self.faults = UpstreamFaults()
         self.draining = False
+        self.rack = ""
+        self.spread_factor = 1.0
         self.advertised_address = ""
         """Address to send in heartbeats instead of the server's own, such as that of a relay."""
         self.history: list[Run] = []
@@ -88,6 +97,8 @@
         self._clock = SystemClock()
         self._sequence = 0
         self._server: HttpServer | None = None
+        self._leaves_at_ms: float | None = None
+        self._absent_until_ms = float("-inf")
         self._begin_incarnation()
 
     def _begin_incarnation(self) -> None:
@@ -106,6 +117,17 @@
             run.end_ms, run.how = self._clock.now_ms(), "crashed"
         self._begin_incarnation()
 
+    def leave(self, notice_ms: float) -> None:
+        """Announce a departure in ``notice_ms``, at which all runs are lost."""
+        self.draining = True
+        self._leaves_at_ms = self._clock.now_ms() + notice_ms
+
+    def _depart(self, now_ms: float) -> None:
+        self._leaves_at_ms = None
+        self.draining = False
+        self._absent_until_ms = now_ms + _ABSENCE_MS
+        self.crash()
+
     def _incarnation_clock_ms(self) -> float:
         """Return the time since this incarnation began, on which the calls' times are based.
 
@@ -131,6 +153,8 @@
             while True:
                 await curio.sleep(_STEP_INTERVAL_S)
                 now_ms = self._clock.now_ms()
+                if self._leaves_at_ms is not None and now_ms >= self._leaves_at_ms:
+                    self._depart(now_ms)
                 self._advance_runs(now_ms - last_ms)
                 last_ms = now_ms
         finally:
@@ -146,8 +170,12 @@
 
     async def _send_heartbeats(self, agent_address: str, heartbeat_ms: float) -> None:
         while True:
+            now_ms = self._clock.now_ms()
+            if now_ms < self._absent_until_ms:
+                await curio.sleep(_STEP_INTERVAL_S)
+                continue
             self._sequence += 1
-            body = {
+            body: dict[str, object] = {
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
@@ -158,9 +186,11 @@
                 "sequence": self._sequence,
                 "capacity": {"cpu": self.cpu, "memMb": 1_000_000, "gpus": 0},
                 "born": self._born_wall_ms,
-                "labels": ["a"],
+                "labels": ["a", self.rack] if self.rack else ["a"],
                 "clockMs": int(self._incarnation_clock_ms()),
             }
+            if self._leaves_at_ms is not None:
+                body["remainingMs"] = max(1.0, self._leaves_at_ms - now_ms)
             path = f"/snipewell/instances/{self.name}/heartbeat"
             request = Request("POST", path, {}, {}, msgspec.json.encode(body))
             try:
@@ -175,7 +205,9 @@
         now_ms = self._clock.now_ms()
         for key, run in list(self._running.items()):
             if not self.faults.hang:
-                run.done_ms += elapsed_ms / self.faults.slow
+                is_far = run.spec.rack not in ("", self.rack)
+                factor = self.spread_factor if is_far else 1.0
+                run.done_ms += elapsed_ms / (self.faults.slow * factor)
             if run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
                 self._end(key, "stopped")
             elif self._incarnation_clock_ms() > self._lease_end_ms:
--- a/tests/jobfleet.py
+++ b/tests/jobfleet.py
@@ -213,6 +213,10 @@
     def _configure_upstream(self, upstream: StandInUpstream, port: int) -> None:
         """Configure an upstream that will accept calls at ``port``; a hook for subclasses."""
 
+    def _choose_place(self, client: Client) -> dict[str, object]:
+        """Return the fields of a job's step that name places; a hook for subclasses."""
+        return {}
+
     async def _request(self, address: str, request: Request) -> Response:
         """Send a client's request on a new connection."""
         return await fetch(address, request, CLIENT_TIMEOUT_MS)
@@ -237,8 +241,10 @@
     async def _send(self, client: Client, entry: Daemon, tasks: int, ms: float) -> int:
         """Send a job once; return the response status, or 0 without a response."""
         client.sent += 1
-        specification = msgspec.json.encode({"ms": ms}).decode()
-        step = {"count": tasks, "cpu": 1_000, "memMb": 10, "estimatedMs": ms}
+        place = self._choose_place(client)
+        rack = place.get("affinity", "")
+        specification = msgspec.json.encode({"ms": ms, "rack": rack}).decode()
+        step = {"count": tasks, "cpu": 1_000, "memMb": 10, "estimatedMs": ms, **place}
         body = {"specification": specification, "bestEffort": True, "steps": [step]}
         headers = {"host": HOST, "snipewell-deadline-ms": str(int(CLIENT_TIMEOUT_MS))}
         path = f"{PREFIX}{client.job}"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,12 +11,13 @@
 from snipewell.client import ExchangeError, HttpPool, NotSentError
 from snipewell.directory import JOB_ENTRIES_PREFIX, EntryAddress
 from snipewell.standins.metadata import MetadataStore
-from snipewell.standins.platformupstream import StandInUpstream
+from snipewell.standins.platformupstream import Run, StandInUpstream
 from snipewell.web import Request, Response
 
 from ..jobfleet import (
     CLIENT_TIMEOUT_MS,
     SERVICE,
+    Client,
     Daemon,
     JobFleet,
     foreign_heartbeat,
@@ -26,6 +27,10 @@
 from .relay import Relay
 
 CONNECTIONS_PER_ENTRY = 64
+ANTI_AFFINITY = 2
+"""Most tasks of a step on one upstream, for the jobs that limit it."""
+RACKS = 2
+SPREAD_FACTOR = 2.0
 _POLL_S = 0.01
 _ODD_HEARTBEAT_INTERVAL_S = 0.05
 
@@ -52,6 +57,17 @@
         super().put(key, value)
 
 
+def _is_beside(other: Run, run: Run) -> bool:
+    """Return whether ``other``, of the same step and upstream, was running when ``run`` began."""
+    return (
+        other is not run
+        and other.upstream == run.upstream
+        and other.task.rsplit(".", 1)[0] == run.task.rsplit(".", 1)[0]
+        and other.start_ms <= run.start_ms
+        and (other.end_ms is None or other.end_ms > run.start_ms)
+    )
+
+
 class SoakFleet(JobFleet):
     """A fleet with relays on all links, whose clients keep connections until the process exits.
 
@@ -122,7 +138,30 @@
             daemon.address = self.relay(f"clients to {name}", address).address
         return daemon
 
+    def _choose_place(self, client: Client) -> dict[str, object]:
+        """Return the place of a job, drawn by its id so that resubmissions agree."""
+        places: list[dict[str, object]] = [
+            {},
+            {"affinity": "r0"},
+            {"sameRack": True},
+            {"antiAffinity": ANTI_AFFINITY},
+        ]
+        return places[int(client.job, 16) % len(places)]
+
+    def beyond_anti_affinity(self) -> list[str]:
+        """Return the steps of which more tasks ran on an upstream at a time than permitted."""
+        limited = {
+            client.job for client in self.clients if "antiAffinity" in self._choose_place(client)
+        }
+        runs = [run for run in self.runs() if run.task.split(".")[0] in limited]
+        return [
+            f"{run.task} on {run.upstream}"
+            for run in runs
+            if sum(_is_beside(other, run) for other in runs) >= ANTI_AFFINITY
+        ]
+
     def _configure_upstream(self, upstream: StandInUpstream, port: int) -> None:
+        upstream.rack, upstream.spread_factor = f"r{len(self.upstreams) % RACKS}", SPREAD_FACTOR
         relay = self.relay(f"orders to {upstream.name}", f"{self.host}:{port}")
         upstream.advertised_address = relay.address
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -10,12 +10,13 @@
 import curio
 
 from .fleet import SoakFleet
-from .schedule import Fault, draw_fault, draw_silence_or_writer
+from .schedule import Fault, draw_departure_or_zone, draw_fault, draw_silence_or_writer
 
 CHECK_S = 0.25
 """Interval between checks for overlapping runs."""
 MORE_FAULTS = 3
-"""Number of silences of the store and of other writers, beside the faults that are asked for."""
+"""Number of silences of the store and other writers, and as many departures and zones out of
+service, beside the faults that are asked for."""
 RECOVERY_S = 3.0
 """Time after the last fault in which restarted processes recover."""
 DRAIN_S = 2.0
@@ -75,6 +76,11 @@
             draw_silence_or_writer(fleet, more_rng, more_rng.uniform(0.0, seconds))
             for _ in range(MORE_FAULTS)
         ]
+        place_rng = Random(f"departures and zones of {seed}")
+        result.faults += [
+            draw_departure_or_zone(fleet, place_rng, place_rng.uniform(0.0, seconds))
+            for _ in range(MORE_FAULTS)
+        ]
         for fault in result.faults:
             await fleet.after(fault.at_s, fault.begin)
             await fleet.after(fault.at_s + fault.duration_s, fault.end)
@@ -112,6 +118,8 @@
             result.violations.append(
                 f"{begin_s:.3f} s: {client.job} got no outcome: statuses {client.statuses}"
             )
+    for text in fleet.beyond_anti_affinity():
+        result.violations.append(f"{text} ran beside more tasks of its step than permitted")
     for client in fleet.false_refusals():
         result.violations.append(f"{client.job} was refused as not run, but a task ran")
     for client in fleet.false_completions():
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -198,3 +198,22 @@
                 lambda: fleet.odd_heartbeats_to.add(name),
                 lambda: fleet.odd_heartbeats_to.discard(name),
             )
+
+
+def draw_departure_or_zone(fleet: SoakFleet, rng: Random, at_s: float) -> Fault:
+    """Return an upstream that leaves at short notice, or a zone that is out of service.
+
+    These are drawn apart, so that the seeds that failed once keep their other faults.
+    """
+    upstream = rng.choice(fleet.upstreams)
+    if rng.random() < 0.5:
+        notice_ms = rng.uniform(200.0, 1_500.0)
+        text = f"{upstream.name} leaves in {notice_ms:.0f} ms"
+        return Fault(text, at_s, 0.0, lambda: upstream.leave(notice_ms), _no_action)
+    key = f"op/evacuate/{upstream.zone}"
+
+    def withdraw() -> None:
+        fleet.store.put(key, b"{}")
+
+    text = f"{upstream.zone} is out of service"
+    return Fault(text, at_s, rng.uniform(0.2, 3.0), withdraw, lambda: fleet.store.delete(key))
