--- a/snipewell/jobqueue.py
+++ b/snipewell/jobqueue.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .sharing import Claim, Demand, Rank, RefusalCause, Sharing
+from .sharing import NO_RULES, Claim, Demand, Rank, RefusalCause, Sharing
 
 EXPIRY_FACTOR = 3.0
 """Expiry time of a job as a multiple of its latency objective; the figure is stated by the
@@ -115,7 +115,7 @@
     """
     jobs = list(jobs)
     by_value = _plan_by_rank(jobs, rate, now_ms, _value_density)
-    if sharing is None:
+    if sharing is None or sharing.rules == NO_RULES:
         return by_value
     if len(by_value.timely) == sum(job.latest_start_ms() >= now_ms for job in jobs):
         return by_value
--- a/snipewell/placer.py
+++ b/snipewell/placer.py
@@ -25,7 +25,7 @@
 from .placedtasks import PlacedTasks
 from .reach import Shortage, measure_shortage
 from .runmessage import RunSlow
-from .sharing import Claim, RefusalCause, Sharing
+from .sharing import NO_RULES, Claim, RefusalCause, Sharing
 
 MIN_SATURATION_MS = 300.0
 """Time for which tasks must have been waiting without interruption before jobs are refused. Shorter
@@ -87,7 +87,7 @@
         thousandths of a core."""
         self.shortage = Shortage()
         """What the last round left waiting."""
-        self.sharing = sharing or Sharing()
+        self.sharing = sharing or Sharing(NO_RULES)
         self._sessions = sessions
         self._runs = runs
         self._stopping = stopping
--- a/snipewell/sharing.py
+++ b/snipewell/sharing.py
@@ -64,8 +64,7 @@
 class SharingRules:
     """Rules in force.
 
-    ``priority`` is off because it made the test load worse off, see `docs/design/sharing.md`. The
-    others are on except for comparisons in tests.
+    ``priority`` is off because it made the test load worse off, see `docs/design/sharing.md`.
     """
 
     priority: bool = False
@@ -73,6 +72,10 @@
     whole: bool = True
 
 
+NO_RULES = SharingRules(priority=False, size=False, whole=False)
+"""Rules of an entry unless others are passed to its `Placer`; `docs/design/sharing.md` has why."""
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """Properties of a waiting job on which its share of the capacity depends."""
