--- a/review/rig.py
+++ b/review/rig.py
@@ -30,7 +30,7 @@
 import msgspec
 
 from snipewell.client import ExchangeError, NotSentError, fetch
-from snipewell.server import HttpServer
+from snipewell.server import ClientDisconnectedError, HttpServer
 from snipewell.standins.metadata import MetadataStore
 from snipewell.web import Request, Response
 
@@ -295,6 +295,9 @@
         return status // 100 == 2
 
     async def _handle(self, request: Request) -> Response:
+        if not self.is_up:
+            # The life has ended, and its connections are about to be closed.
+            raise ClientDisconnectedError
         if request.method == "GET":
             return Response.from_json(200, {})
         expected = request.headers.get("snipewell-expected-instance", self.name)
