Repeat a lost watch of the store within three seconds

A watch that a silent store has taken is never answered. It was given up after its wait of 2 s and a timeout of 0.8 s, and sent again after a pause of up to 0.4 s.

The timeout of a watch beyond its wait is 0.5 s now: changes are answered during the wait, so only an empty answer can be late. The pause counts from the start of the failed call, so one that timed out is repeated at once. A call without an answer closes the idle connections to the store, since the next call on one that is silent too would be lost as well.

--- a/snipewell/platform/__main__.py
+++ b/snipewell/platform/__main__.py
@@ -24,6 +24,9 @@
 STORE_TIMEOUT_MS = 800.0
 """Timeout of a call to the metadata store, which responds in 4 ms normally and in 300 ms when it is
 slow."""
+WATCH_TIMEOUT_MS = 500.0
+"""Timeout of the answer to a watch beyond its wait. Changes are answered during the wait, so a late
+answer has none."""
 SETTINGS_ERROR_STATUS = 2
 """Exit status for settings that are missing or invalid."""
 
@@ -53,7 +56,7 @@
     clock = SystemClock()
     buffer = LogBuffer(sys.stdout.fileno())
     log = Log("info", buffer.add, node=boot.name)
-    store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
+    store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS, WATCH_TIMEOUT_MS)
     entry = JobEntry(settings, store, OPERATOR_KEYS, clock, Random(), log, buffer)
     frontend = Frontend(entry)
     curio.run(
@@ -88,7 +91,7 @@
     log = Log("info", buffer.add, node=boot.name)
     if not boot.upstream_accepts_calls:
         log.error("agent", "unsupported upstream", reason="it polls for orders with its heartbeats")
-    store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS)
+    store = PlatformStore(boot.store_address, clock, STORE_TIMEOUT_MS, WATCH_TIMEOUT_MS)
     upstream = UpstreamClient()
     agent = JobAgent(settings, store, ZONE_KEYS, upstream, clock, Random(), log, buffer)
     expected = ExpectedUpstream(boot.service, boot.upstream_address)
--- a/snipewell/platform/store.py
+++ b/snipewell/platform/store.py
@@ -61,13 +61,21 @@
     """Client of the store at ``address`` (``ip:port``).
 
     Every call raises StoreUnreachableError if no valid response arrives: on a failed connection, an
-    unexpected status, a malformed body, or after ``timeout_ms`` beyond the wait of a watch.
+    unexpected status, a malformed body, or after ``timeout_ms``; a watch after ``watch_timeout_ms``
+    beyond its wait, by default ``timeout_ms``.
     """
 
-    def __init__(self, address: str, clock: Clock, timeout_ms: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        timeout_ms: float,
+        watch_timeout_ms: float | None = None,
+    ) -> None:
         self._address = address
         self._clock = clock
         self._timeout_ms = timeout_ms
+        self._watch_timeout_ms = timeout_ms if watch_timeout_ms is None else watch_timeout_ms
         # Watches block their connection for long, so they have a pool of their own.
         self._calls = HttpPool(address, 4)
         self._watches = HttpPool(address, 8, keepalive_timeout_ms=KEEPALIVE_TIMEOUT_MS)
@@ -100,7 +108,8 @@
         sent_at_ms = self._clock.now_ms()
         query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(int(wait_ms))}
         request = Request("GET", "/snipewell/kv-watch", query)
-        response = await self._call(request, (200, 410), wait_ms, self._watches)
+        timeout_ms = self._watch_timeout_ms + wait_ms
+        response = await self._call(request, (200, 410), timeout_ms, self._watches)
         if response.status == 410:
             return Changes(sent_at_ms, after, [], compacted=True)
         decoded = self._decode(response, _Watched)
@@ -139,12 +148,15 @@
         self,
         request: Request,
         expected: tuple[int, ...],
-        wait_ms: float = 0.0,
+        timeout_ms: float | None = None,
         pool: HttpPool | None = None,
     ) -> Response:
+        timeout_ms = self._timeout_ms if timeout_ms is None else timeout_ms
         try:
-            response = await (pool or self._calls).request(request, self._timeout_ms + wait_ms)
+            response = await (pool or self._calls).request(request, timeout_ms)
         except (NotSentError, ExchangeError) as error:
+            # Idle connections may have gone silent as well; the next call on one would be lost too.
+            await self.close()
             raise StoreUnreachableError(self._address, error.reason) from None
         if response.status not in expected:
             reason = f"{request.method} {request.path} returned status {response.status}"
--- a/snipewell/storetask.py
+++ b/snipewell/storetask.py
@@ -25,11 +25,13 @@
 """Longest wait of a watch request.
 
 A store that was silent for a while never answers the watches that were sent to it meanwhile, and
-acknowledges keep-alive probes on their connections all the same. So the wait bounds the time for
-which a process misses changes after such an outage. Changes have to be in force after 2 s.
+acknowledges keep-alive probes on their connections all the same. So the wait and the timeout of its
+answer bound the time for which a process misses changes after such an outage. Changes have to be in
+force 3 s after it.
 """
 RETRY_MS = (100.0, 400.0)
-"""Bounds in milliseconds of the random pause after a failed request to the store."""
+"""Bounds in milliseconds of the random time from the start of a failed request to the store until
+the next one. A request that timed out is repeated at once."""
 
 
 class LeasedStore(Watchable, Protocol):
@@ -63,13 +65,14 @@
     watcher = PrefixWatcher(store, prefix)
     reachable = True
     while True:
+        began_s = await curio.clock()
         try:
             update = await watcher.next(WATCH_WAIT_MS)
         except StoreUnreachableError as error:
             if reachable:
                 log.info("store", "lost", prefix=prefix, reason=str(error))
             reachable = False
-            await curio.sleep(rng.uniform(*RETRY_MS) / 1000)
+            await _wait_to_retry(began_s, rng)
             continue
         if not reachable:
             log.info("store", "regained", prefix=prefix, revision=update.revision)
@@ -77,6 +80,12 @@
         await deliver(update)
 
 
+async def _wait_to_retry(began_s: float, rng: Random) -> None:
+    """Wait until a failed request may be repeated; it began at ``began_s`` of curio's clock."""
+    due_s = began_s + rng.uniform(*RETRY_MS) / 1000
+    await curio.sleep(max(due_s - await curio.clock(), 0.0))
+
+
 class Registration:
     """Registration of an entry in the store, under a lease that is renewed.
 
@@ -105,11 +114,12 @@
         while True:
             # Cleared first, so that a change during the calls leads to the next ones at once.
             self._wake.clear()
+            began_s = await curio.clock()
             try:
                 await self._renew_or_register()
             except StoreUnreachableError as error:
                 self._log.info("store", "registration not renewed", reason=str(error))
-                await curio.sleep(self._rng.uniform(*RETRY_MS) / 1000)
+                await _wait_to_retry(began_s, self._rng)
             else:
                 await curio.ignore_after(RENEW_INTERVAL_MS / 1000, self._wake.wait)
 
