End the runs of an upstream that deregistered when they have ended

The agent took the deregistration for the end of the runs and reported them as lost at once. It proves only that its sender is about to leave: the upstream runs its tasks until it has the answer, and without an answer for some seconds.

The executor now stops the runs and keeps the upstream registered until the upstream lists them as ended or their lease has expired. The agent delays its answer until then, at most 500 ms, since the upstream lists the ends only while it waits for the answer. A refused connection isn't taken for the end, as before for an upstream that drains.

--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -16,6 +16,10 @@
 delayed, or sent by another writer. The executor therefore asks the address of the upstream for the
 lists of that incarnation first, which any other one refuses.
 
+A deregistration shows that the upstream is about to end, not that its runs have ended: it goes on
+until it has the answer, and for seconds if the answer is lost. The executor stops the runs; the
+lists of the upstream or the expiry of the lease show their ends.
+
 If the address of the upstream refuses a connection, no process listens there. The runs whose start
 was sent before that call have ended with the process, and the executor polls for the next
 incarnation.
@@ -145,6 +149,9 @@
         self._successor: Upstream | None = None
         """Incarnation that sent a heartbeat and replaces ``_upstream`` once it answers a call."""
         self._successor_poll_sent_ms = float("-inf")
+        self._departure_reason = ""
+        """Reason of the deregistration of ``_upstream``, which is removed when all of its runs have
+        ended; empty if it hasn't deregistered."""
         self._reconciled = False
         self._lease = LeaseClock()
         self._speed = RunSpeed()
@@ -186,6 +193,11 @@
         """Number of runs that occupy resources of the upstream, indeterminate starts included."""
         return len(self._runs)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream has deregistered and not all of its runs have ended."""
+        return bool(self._departure_reason)
+
     @property
     def awaits_stop(self) -> bool:
         """Whether a stop order has no answer yet, so that it may have to be repeated soon."""
@@ -219,16 +231,27 @@
         self.entries.report(now_ms)
 
     def on_deregistration(self, upstream: UpstreamId, reason: str, now_ms: float) -> None:
-        """Remove ``upstream`` after it deregistered, and end its runs as lost."""
+        """Stop the runs of ``upstream``, which is leaving, and remove it when they have ended."""
         if self._successor is not None and self._successor.upstream == upstream:
             self._successor = None
-        if self._upstream is None or self._upstream.upstream != upstream:
+        if self._upstream is None or self._upstream.upstream != upstream or self.is_leaving:
             return
-        self._note("upstream deregistered", upstream=self._upstream.upstream, reason=reason)
+        self._note("upstream deregistered", upstream=upstream, reason=reason, runs=len(self._runs))
+        self._departure_reason = reason
+        for key in list(self._runs):
+            self._stop(key, reason, now_ms)
+        self._remove_if_left(now_ms)
+        self.entries.report(now_ms)
+
+    def _remove_if_left(self, now_ms: float) -> None:
+        """Remove the upstream if it has deregistered and all of its runs have ended."""
+        if self._upstream is None or not self.is_leaving or self._runs:
+            return
+        self._note("upstream removed", upstream=self._upstream.upstream)
         self._upstream = None
+        self._departure_reason = ""
         self._down_since_ms = None
         self._expired.clear()
-        self._drop_runs(reason, now_ms)
         if self._successor is not None:
             self._on_new_incarnation(self._successor, now_ms)
         self.entries.report(now_ms)
@@ -303,6 +326,7 @@
             self._drop_runs("a new life of the upstream", now_ms)
         self._upstream = upstream
         self._successor = None
+        self._departure_reason = ""
         # Invalidates orders to an earlier incarnation that this one may still execute.
         self._fence += 1
         self._lease.reset()
@@ -424,6 +448,7 @@
         if not self._reconciled and call.fence == self._fence and not orphans:
             self._reconciled = True
             self.entries.report(now_ms)
+        self._remove_if_left(now_ms)
 
     def on_hold_refused(self, call: CallHold, now_ms: float) -> None:
         """Process a ``call`` that the upstream's address refused.
@@ -533,6 +558,12 @@
             how = end.end
             if how is RunEnd.STOPPED and run.stop_reason == RunEnd.STALLED.value:
                 how = RunEnd.STALLED
+            elif (
+                how is RunEnd.STOPPED
+                and self.is_leaving
+                and run.stop_reason == self._departure_reason
+            ):
+                how = RunEnd.LOST
             self._finish(key, how, run.stop_reason, now_ms)
 
     def _stop_orphan(self, row: RunRow) -> None:
@@ -881,6 +912,7 @@
             self._unhealthy_until_ms = now_ms + UNHEALTHY_MS
             self._expired += [run.order for run in self._runs.values()]
             self._drop_runs("the upstream doesn't answer and its lease has expired", now_ms)
+        self._remove_if_left(now_ms)
 
     def _check_run(self, key: tuple[str, int], run: Run, now_ms: float) -> None:
         if run.state is not RunState.RUNNING:
--- a/snipewell/jobagentd.py
+++ b/snipewell/jobagentd.py
@@ -50,6 +50,9 @@
 HOLD_RETRY_MS = 40.0
 """Delay before the next regular ``hold`` call after a failed ``hold`` call; without it, calls to an
 unreachable upstream would follow one another without a pause."""
+DEPARTURE_WAIT_MS = 500.0
+"""Longest delay of the answer to a deregistration, until the runs that it stopped have ended. The
+upstream waits a second for the answer; a stop takes up to 50 ms (``stopGraceMs``)."""
 RECONCILE_INTERVAL_MS = 500.0
 """Longest interval between two comparisons of the connections with the registered entries; each
 change of the registrations and each session that timed out leads to one at once."""
@@ -141,8 +144,14 @@
         await self._task.put(self._core.on_heartbeat, upstream)
 
     async def on_deregistration(self, upstream: UpstreamId, reason: str) -> None:
-        """Pass the deregistration of ``upstream`` to the executor."""
-        await self._task.put(self._core.on_deregistration, upstream, reason)
+        """Pass the deregistration of ``upstream`` to the executor, and wait until its runs end.
+
+        The upstream ends when it receives the answer, so it lists the ends only until then.
+        """
+        await self._task.call(self._core.on_deregistration, upstream, reason)
+        until_ms = self._clock.now_ms() + DEPARTURE_WAIT_MS
+        while self._core.is_leaving and self._clock.now_ms() < until_ms:
+            await curio.sleep(TICK_MS / 1000)
 
     def _declare_metrics(self) -> None:
         core, counters = self._core, self._core.counters
--- a/snipewell/standins/platformupstream.py
+++ b/snipewell/standins/platformupstream.py
@@ -27,8 +27,10 @@
 """Time from the order to stop a run to its end."""
 _STEP_INTERVAL_S = 0.005
 """Interval in seconds at which runs advance."""
+_LINGER_MS = 2_000.0
+"""Time for which an upstream goes on without an answer to its deregistration."""
 _ABSENCE_MS = 1_000.0
-"""Time from the departure of the upstream to the heartbeats of its next incarnation."""
+"""Time from the end of the upstream to the heartbeats of its next incarnation."""
 _LATE_RANGE_MS = (2_000.0, 5_000.0)
 """Bounds of the random delay of a call that is carried out late."""
 
@@ -47,6 +49,19 @@
     slow: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A departure: the upstream deregisters ``notice_ms`` after its announcement was answered.
+
+    ``answer_lost`` is true if the answer to the deregistration is lost. ``held_ms`` is the time for
+    which the deregistration is held up; the upstream doesn't wait for its answer then.
+    """
+
+    notice_ms: float
+    answer_lost: bool = False
+    held_ms: float = 0.0
+
+
 class RunSpec(msgspec.Struct):
     """Specification of a task: its duration in milliseconds and its result."""
 
@@ -97,6 +112,7 @@
         self._clock = SystemClock()
         self._sequence = 0
         self._server: HttpServer | None = None
+        self._departure: Departure | None = None
         self._leaves_at_ms: float | None = None
         self._absent_until_ms = float("-inf")
         self._begin_incarnation()
@@ -117,16 +133,35 @@
             run.end_ms, run.how = self._clock.now_ms(), "crashed"
         self._begin_incarnation()
 
-    def leave(self, notice_ms: float) -> None:
-        """Announce a departure in ``notice_ms``, at which all runs are lost."""
+    def leave(self, departure: Departure) -> None:
+        """Announce a departure; the next incarnation begins after it."""
         self.draining = True
-        self._leaves_at_ms = self._clock.now_ms() + notice_ms
-
-    def _depart(self, now_ms: float) -> None:
+        self._departure = departure
         self._leaves_at_ms = None
+
+    async def _deregister(self, agent_address: str, departure: Departure) -> None:
+        """Deregister, and end once that is answered or after a while without an answer."""
+        born_ms = self._born_ms
+        if departure.held_ms:
+            await curio.spawn(
+                self._send_deregistration, agent_address, departure.held_ms, daemon=True
+            )
+        answered = not departure.held_ms and await self._send_deregistration(agent_address, 0.0)
+        if not answered or departure.answer_lost:
+            await curio.sleep(_LINGER_MS / 1000)
+        if born_ms == self._born_ms:
+            self._absent_until_ms = self._clock.now_ms() + _ABSENCE_MS
+            self.crash()
         self.draining = False
-        self._absent_until_ms = now_ms + _ABSENCE_MS
-        self.crash()
+
+    async def _send_deregistration(self, agent_address: str, delay_ms: float) -> bool:
+        """Send the deregistration after ``delay_ms``; return whether it was answered."""
+        await curio.sleep(delay_ms / 1000)
+        request = Request("POST", f"/snipewell/instances/{self.name}/deregister")
+        try:
+            return (await fetch(agent_address, request, 1_000)).status == 200
+        except (NotSentError, ExchangeError):
+            return False
 
     def _incarnation_clock_ms(self) -> float:
         """Return the time since this incarnation began, on which the calls' times are based.
@@ -153,8 +188,12 @@
             while True:
                 await curio.sleep(_STEP_INTERVAL_S)
                 now_ms = self._clock.now_ms()
-                if self._leaves_at_ms is not None and now_ms >= self._leaves_at_ms:
-                    self._depart(now_ms)
+                departure = self._departure
+                if departure and self._leaves_at_ms is not None and now_ms >= self._leaves_at_ms:
+                    self._departure = self._leaves_at_ms = None
+                    # It sends no heartbeats beside the deregistration.
+                    self._absent_until_ms = now_ms + _LINGER_MS + _ABSENCE_MS
+                    await curio.spawn(self._deregister, agent_address, departure, daemon=True)
                 self._advance_runs(now_ms - last_ms)
                 last_ms = now_ms
         finally:
@@ -189,8 +228,10 @@
                 "labels": ["a", self.rack] if self.rack else ["a"],
                 "clockMs": int(self._incarnation_clock_ms()),
             }
-            if self._leaves_at_ms is not None:
-                body["remainingMs"] = max(1.0, self._leaves_at_ms - now_ms)
+            departure = self._departure
+            if departure is not None:
+                leaves_at_ms = self._leaves_at_ms or now_ms + departure.notice_ms
+                body["remainingMs"] = max(1.0, leaves_at_ms - now_ms)
             path = f"/snipewell/instances/{self.name}/heartbeat"
             request = Request("POST", path, {}, {}, msgspec.json.encode(body))
             try:
@@ -199,6 +240,8 @@
                 # The agent is unreachable, so retry soon.
                 await curio.sleep(0.05)
                 continue
+            if departure is not None and self._leaves_at_ms is None:
+                self._leaves_at_ms = self._clock.now_ms() + departure.notice_ms
             await curio.sleep(heartbeat_ms / 1000)
 
     def _advance_runs(self, elapsed_ms: float) -> None:
--- a/tests/jobsim.py
+++ b/tests/jobsim.py
@@ -32,7 +32,7 @@
     RunEnd,
     StepSpec,
 )
-from snipewell.jobagentd import HOLD_RETRY_MS
+from snipewell.jobagentd import DEPARTURE_WAIT_MS, HOLD_RETRY_MS
 from snipewell.scheduler import Answer, Scheduler
 from snipewell.upstreamcall import (
     CallHold,
@@ -57,6 +57,10 @@
 """Time from the crash of an upstream under a task to the start of its next incarnation."""
 HEARTBEAT_DELAY_MS = 50.0
 """Time from the start of an incarnation of an upstream to its first heartbeat at the agent."""
+DRAIN_MS = 2_000.0
+"""Time from the announcement of a departure to the deregistration."""
+LINGER_MS = 2_000.0
+"""Time for which an upstream goes on without an answer to its deregistration."""
 MAX_HOLD_MS = 1_000.0
 """Longest lease that an upstream grants on its runs, by its own clock."""
 
@@ -126,12 +130,21 @@
         self.silent = False
         """Set after a silent crash: the upstream answers no call and runs nothing."""
         self.down = False
-        """Set between a crash and the restart: the address of the upstream refuses connections."""
+        """Set between an end and the restart: the address of the upstream refuses connections."""
+        self.draining = False
         self.deferred_call_share = 0.0
         self.waiters: list[tuple[float, Callable[[], None]]] = []
 
     def describe(self) -> Upstream:
-        return Upstream(UpstreamId(self.name), self.born_ms, "svc", "z1", "a", self.capacity)
+        return Upstream(
+            UpstreamId(self.name),
+            self.born_ms,
+            "svc",
+            "z1",
+            "a",
+            self.capacity,
+            draining=self.draining,
+        )
 
     def clock_ms(self) -> float:
         return (self.sim.now - self.born_ms) * self.clock_rate
@@ -223,28 +236,58 @@
 
     def crash_under(self, key: tuple[str, int], run: ActiveRun) -> None:
         """Crash if ``run`` is still in progress, and restart as a new incarnation later."""
-        if self.running.get(key) is not run:
-            return
+        if self.running.get(key) is run:
+            self.go_down(RESTART_MS)
+
+    def go_down(self, for_ms: float) -> None:
+        """End this incarnation, and start the next one ``for_ms`` later."""
         waiters = list(self.waiters)
         self.crash()
         self.down = True
         # The connections of outstanding calls break.
         for _, answer in waiters:
             answer()
-        self.sim.after(RESTART_MS, self.restart)
+        self.sim.after(for_ms, self.restart)
 
     def restart(self) -> None:
-        self.down = False
+        self.down = self.draining = False
         self.born_ms = int(self.sim.now)
+        self.sim.after(HEARTBEAT_DELAY_MS, self.send_heartbeat)
+
+    def send_heartbeat(self) -> None:
         agent = next(agent for agent in self.sim.agents if agent.upstream is self)
+        if not self.down:
+            agent.run_or_defer(
+                lambda: agent.core.on_heartbeat(self.describe(), agent.clock.now_ms())
+            )
 
-        def register() -> None:
-            if not self.down:
-                agent.run_or_defer(
-                    lambda: agent.core.on_heartbeat(self.describe(), agent.clock.now_ms())
-                )
+    def leave(self, late_ms: float, answer_lost: bool, down_ms: float) -> None:
+        """Drain, deregister and end, and start the next incarnation ``down_ms`` later.
 
-        self.sim.after(HEARTBEAT_DELAY_MS, register)
+        The deregistration arrives ``late_ms`` after it was sent. Without its answer, the upstream
+        ends `LINGER_MS` after it.
+        """
+        if self.down or self.draining:
+            return
+        self.draining = True
+        self.send_heartbeat()
+        agent = next(agent for agent in self.sim.agents if agent.upstream is self)
+        born_ms = self.born_ms
+
+        def end() -> None:
+            if self.born_ms == born_ms and not self.down:
+                self.go_down(down_ms)
+
+        def receive() -> None:
+            answer = (lambda: None) if answer_lost else end
+            agent.run_or_defer(lambda: agent.deregister(answer))
+
+        def deregister() -> None:
+            if self.born_ms == born_ms and not self.down:
+                self.sim.after(late_ms, receive)
+                self.sim.after(LINGER_MS, end)
+
+        self.sim.after(DRAIN_MS, deregister)
 
 
 class SimAgent:
@@ -316,6 +359,20 @@
         for work in deferred:
             self.run_or_defer(work)
 
+    def deregister(self, answer: Callable[[], object]) -> None:
+        """Process a deregistration, and ``answer`` it when the daemon does."""
+        name = UpstreamId(self.upstream.name)
+        self.core.on_deregistration(name, "it has left", self.clock.now_ms())
+        until_ms = self.clock.now_ms() + DEPARTURE_WAIT_MS
+
+        def check() -> None:
+            if self.core.is_leaving and self.clock.now_ms() < until_ms:
+                self.sim.after(TICK_MS, lambda: self.run_or_defer(check))
+            else:
+                self.sim.after(LINK_DELAY_MS, answer)
+
+        check()
+
     def tick(self) -> None:
         if not self.paused:
             self.core.tick(self.clock.now_ms())
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -8,11 +8,14 @@
 from random import Random
 
 from snipewell.standins.metadata import StoreFaults
-from snipewell.standins.platformupstream import UpstreamFaults
+from snipewell.standins.platformupstream import Departure, UpstreamFaults
 
 from ..jobfleet import Daemon
 from .fleet import SoakFleet
 
+HELD_MS = 4_000.0
+"""Time for which a deregistration is held up; the next incarnation has begun when it arrives."""
+
 Action = Callable[[], object]
 
 
@@ -208,8 +211,10 @@
     upstream = rng.choice(fleet.upstreams)
     if rng.random() < 0.5:
         notice_ms = rng.uniform(200.0, 1_500.0)
-        text = f"{upstream.name} leaves in {notice_ms:.0f} ms"
-        return Fault(text, at_s, 0.0, lambda: upstream.leave(notice_ms), _no_action)
+        answer_lost, held_ms = rng.choice([(False, 0.0), (True, 0.0), (False, HELD_MS)])
+        departure = Departure(notice_ms, answer_lost, held_ms)
+        text = f"{upstream.name} leaves: {departure}"
+        return Fault(text, at_s, 0.0, lambda: upstream.leave(departure), _no_action)
     key = f"op/evacuate/{upstream.zone}"
 
     def withdraw() -> None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -401,13 +401,11 @@
 ) -> None:
     """Guards against tasks blamed for an upstream that was stopped on purpose."""
     harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
     if deregisters:
-        harness.core.on_deregistration(UPSTREAM.upstream, "stopped", harness.now)
-        harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+        harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
         harness.collect_effects()
-    else:
-        harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
-        harness.restart_upstream(5_000)
+    harness.restart_upstream(5_000)
     assert crashes(harness) == []
 
 
@@ -783,10 +781,51 @@
     probe_other_incarnation(harness, replace(UPSTREAM, upstream=UpstreamId("u2"), born_ms=5_000))
     harness.core.on_deregistration(UpstreamId("u2"), "it has left", harness.now)
     assert harness.core.upstream == UPSTREAM
+    assert not harness.core.is_leaving
+    harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
+    assert harness.core.is_leaving
+
+
+def leave_with_a_run(harness: ExecutorHarness) -> None:
+    """Let the upstream drain and deregister while it runs a task."""
+    harness.answer(harness.start())
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
     harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
     harness.collect_effects()
+    assert isinstance(harness.calls[-1], CallStop)
+    harness.answer_hold(running=(RunRow("j/0/0", 1, 12.0),))
+    assert harness.ends() == []
+    assert harness.core.is_leaving
+
+
+def test_a_run_on_an_upstream_that_deregistered_ends_when_it_is_listed(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against a next attempt while the upstream is still there (review/6)."""
+    leave_with_a_run(harness)
+    harness.ended.append(EndRow(1, "j/0/0", 1, RunEnd.STOPPED))
+    harness.answer_hold()
+    assert [end[2:] for end in harness.ends()] == [("lost", "it has left")]
+    assert harness.core.upstream is None
+    assert not harness.core.is_leaving
+
+
+def test_a_run_on_an_upstream_that_deregistered_ends_with_its_lease(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against a run that is taken for ended because its upstream doesn't answer."""
+    leave_with_a_run(harness)
+    left_at_ms = harness.now
+    while not harness.ends():
+        harness.now += 20.0
+        harness.heartbeat()
+        harness.core.tick(harness.now)
+        harness.collect_effects()
+        call = harness.core.next_hold(harness.now)
+        assert call is None or call.deadline_ms is None
+    assert harness.now - left_at_ms >= 1_000.0
+    assert harness.ends()[-1][2] == "lost"
     assert harness.core.upstream is None
-    assert harness.ends()[-1][2:] == ("lost", "it has left")
 
 
 def test_a_restarted_upstream_has_no_runs_and_gets_a_higher_token(harness: ExecutorHarness) -> None:
--- a/tests/test_job_path_processes.py
+++ b/tests/test_job_path_processes.py
@@ -15,7 +15,7 @@
 from snipewell.address import split_address
 from snipewell.client import fetch
 from snipewell.standins.metadata import StoreFaults
-from snipewell.standins.platformupstream import StandInUpstream, UpstreamFaults
+from snipewell.standins.platformupstream import Departure, StandInUpstream, UpstreamFaults
 from snipewell.web import Request
 
 from .jobfleet import (
@@ -32,6 +32,8 @@
 
 LOAD_S = 6.0
 JOBS_PER_S = 6.0
+LONG_TASK_MS = 4_500.0
+"""Duration of a task that can't start again within the time of its client."""
 ODD_HEARTBEAT_INTERVAL_S = 0.05
 
 
@@ -82,6 +84,30 @@
     check_invariants(fleet)
 
 
+@pytest.mark.parametrize("answer_lost", [False, True])
+def test_no_overlapping_runs_when_an_upstream_deregisters(
+    tmp_path: Path, answer_lost: bool
+) -> None:
+    """Guards against a next attempt beside a run on an upstream that deregistered (review/6)."""
+    fleet = JobFleet(tmp_path, 5)
+
+    async def main() -> None:
+        try:
+            await fleet.start()
+            for _ in range(6):
+                await curio.spawn(fleet.submit, 2, LONG_TASK_MS, daemon=True)
+            await curio.sleep(2.0)
+            fleet.upstreams[0].leave(Departure(500.0, answer_lost))
+            await curio.sleep(4.0)
+        finally:
+            await fleet.stop()
+
+    curio.run(main)
+    assert any(run.how in ("stopped", "lapsed") for run in fleet.upstreams[0].history)
+    assert fleet.overlaps() == []
+    assert fleet.false_completions() == []
+
+
 def test_no_overlapping_runs_or_lost_jobs_after_pauses(tmp_path: Path) -> None:
     """Guards against an entry or agent that acts on stale state after a pause."""
     fleet = JobFleet(tmp_path, 3)
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -275,6 +275,33 @@
     check_invariants(sim)
 
 
+def simulate_departures(seed: int, late_ms: float, answer_lost: bool, down_ms: float) -> JobSim:
+    """Let each upstream leave once under long tasks, and start again under its id."""
+    sim = JobSim(seed, agent_count=6)
+    rng = Random(seed * 13 + 7)
+    sim.run(500)
+    for upstream in sim.upstreams:
+        at = rng.uniform(0, FAULT_MS)
+        sim.after(at, lambda u=upstream: u.leave(late_ms, answer_lost, down_ms))  # type: ignore[misc]
+    for _ in range(24):
+        at, entry = rng.uniform(0, FAULT_MS), rng.choice(sim.entries)
+        tasks, work = rng.choice([1, 2, 3]), rng.choice([300.0, 1_500.0, 4_000.0])
+        sim.after(at, lambda e=entry, t=tasks, w=work: sim.submit(e, t, w))  # type: ignore[misc]
+    sim.run(FAULT_MS + 8_000)
+    for _ in range(50):
+        if sim.is_idle():
+            break
+        sim.run(500)
+    return sim
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("answer_lost", [False, True])
+def test_tasks_run_once_at_a_time_while_upstreams_leave(answer_lost: bool, seed: int) -> None:
+    """Guards against a next attempt beside a run on an upstream that deregistered (review/6)."""
+    check_invariants(simulate_departures(seed, 1.0, answer_lost, 3_000.0))
+
+
 def simulate_deadly_job(seed: int, tasks: int, entry_killed: bool) -> tuple[JobSim, Client]:
     """Run a fleet under a light load with one job whose tasks crash their upstreams.
 
