Ignore the deregistration of an earlier incarnation of an upstream

The call doesn't name its incarnation, and the agent compared the id only.

Every upstream drains, and has that acknowledged, before it deregisters. So the call counts only if the registered incarnation drains; otherwise it is logged and ignored. Neither does it drop the heartbeat of a next incarnation that waits for its confirmation, unless that drains.

--- a/snipewell/executor.py
+++ b/snipewell/executor.py
@@ -231,10 +231,23 @@
         self.entries.report(now_ms)
 
     def on_deregistration(self, upstream: UpstreamId, reason: str, now_ms: float) -> None:
-        """Stop the runs of ``upstream``, which is leaving, and remove it when they have ended."""
-        if self._successor is not None and self._successor.upstream == upstream:
+        """Stop the runs of ``upstream``, which is leaving, and remove it when they have ended.
+
+        The call doesn't name the incarnation that sent it, but every incarnation drains first. One
+        that doesn't drain has not sent it.
+        """
+        successor, registered = self._successor, self._upstream
+        if successor is not None and successor.upstream == upstream and successor.draining:
             self._successor = None
-        if self._upstream is None or self._upstream.upstream != upstream or self.is_leaving:
+        if registered is None or registered.upstream != upstream or self.is_leaving:
+            return
+        if not registered.draining:
+            self._note(
+                "deregistration of another incarnation ignored",
+                upstream=upstream,
+                born_ms=registered.born_ms,
+                runs=len(self._runs),
+            )
             return
         self._note("upstream deregistered", upstream=upstream, reason=reason, runs=len(self._runs))
         self._departure_reason = reason
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -781,6 +781,7 @@
     probe_other_incarnation(harness, replace(UPSTREAM, upstream=UpstreamId("u2"), born_ms=5_000))
     harness.core.on_deregistration(UpstreamId("u2"), "it has left", harness.now)
     assert harness.core.upstream == UPSTREAM
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
     assert not harness.core.is_leaving
     harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
     assert harness.core.is_leaving
@@ -810,6 +811,34 @@
     assert not harness.core.is_leaving
 
 
+def test_a_late_deregistration_of_the_last_incarnation_ends_no_run(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against runs of an upstream that is back under its id (review/8)."""
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.restart_upstream(5_000)
+    runs = RunLists(10.0, 5_000, (), ())
+    harness.core.on_hold(harness.calls[-1], runs, harness.now)  # type: ignore[arg-type]
+    harness.answer(harness.start())
+    calls = list(harness.calls)
+    harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
+    harness.collect_effects()
+    assert harness.calls == calls
+    assert harness.ends() == []
+    assert not harness.core.is_leaving
+    assert harness.core.upstream == replace(UPSTREAM, born_ms=5_000, heartbeat_ms=harness.now)
+
+
+def test_a_late_deregistration_keeps_the_heartbeat_of_the_next_incarnation(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against a next incarnation that is unknown until its second heartbeat."""
+    harness.core.on_heartbeat(replace(UPSTREAM, draining=True), harness.now)
+    harness.core.on_heartbeat(replace(UPSTREAM, born_ms=5_000), harness.now)
+    harness.core.on_deregistration(UPSTREAM.upstream, "it has left", harness.now)
+    assert harness.core.upstream == replace(UPSTREAM, born_ms=5_000, heartbeat_ms=harness.now)
+
+
 def test_a_run_on_an_upstream_that_deregistered_ends_with_its_lease(
     harness: ExecutorHarness,
 ) -> None:
--- a/tests/test_jobsim.py
+++ b/tests/test_jobsim.py
@@ -302,6 +302,15 @@
     check_invariants(simulate_departures(seed, 1.0, answer_lost, 3_000.0))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_late_deregistration_stops_no_run_of_the_next_incarnation(seed: int) -> None:
+    """Guards against runs that are stopped on an upstream that is back under its id (review/8)."""
+    sim = simulate_departures(seed, 3_100.0, True, 500.0)
+    check_invariants(sim)
+    stopped = {record.task for record in sim.records if record.how in ("stopped", "lapsed")}
+    assert stopped == set()
+
+
 def simulate_deadly_job(seed: int, tasks: int, entry_killed: bool) -> tuple[JobSim, Client]:
     """Run a fleet under a light load with one job whose tasks crash their upstreams.
 
