--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -811,6 +811,24 @@
     assert not harness.core.is_leaving
 
 
+def test_a_run_on_an_upstream_that_deregistered_ends_with_its_lease(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against a run that is taken for ended because its upstream doesn't answer."""
+    leave_with_a_run(harness)
+    left_at_ms = harness.now
+    while not harness.ends():
+        harness.now += 20.0
+        harness.heartbeat()
+        harness.core.tick(harness.now)
+        harness.collect_effects()
+        call = harness.core.next_hold(harness.now)
+        assert call is None or call.deadline_ms is None
+    assert harness.now - left_at_ms >= 1_000.0
+    assert harness.ends()[-1][2] == "lost"
+    assert harness.core.upstream is None
+
+
 def test_a_late_deregistration_of_the_last_incarnation_ends_no_run(
     harness: ExecutorHarness,
 ) -> None:
@@ -839,24 +857,6 @@
     assert harness.core.upstream == replace(UPSTREAM, born_ms=5_000, heartbeat_ms=harness.now)
 
 
-def test_a_run_on_an_upstream_that_deregistered_ends_with_its_lease(
-    harness: ExecutorHarness,
-) -> None:
-    """Guards against a run that is taken for ended because its upstream doesn't answer."""
-    leave_with_a_run(harness)
-    left_at_ms = harness.now
-    while not harness.ends():
-        harness.now += 20.0
-        harness.heartbeat()
-        harness.core.tick(harness.now)
-        harness.collect_effects()
-        call = harness.core.next_hold(harness.now)
-        assert call is None or call.deadline_ms is None
-    assert harness.now - left_at_ms >= 1_000.0
-    assert harness.ends()[-1][2] == "lost"
-    assert harness.core.upstream is None
-
-
 def test_a_restarted_upstream_has_no_runs_and_gets_a_higher_token(harness: ExecutorHarness) -> None:
     """An order to the last incarnation may still be executed by the new one."""
     call = harness.start()
--- a/tests/test_storetask.py
+++ b/tests/test_storetask.py
@@ -124,7 +124,7 @@
     } == {}
 
 
-def test_a_lost_answer_condemns_the_idle_connections() -> None:
+def test_a_lost_answer_closes_the_idle_connections() -> None:
     """Guards against a second lost call, on an idle connection that went silent too (review/10)."""
     answer = b'{"items":[],"atRevision":1,"hasMore":false}'
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n".encode()
