Tests of two open faults in what proves an incarnation or an entry

A refusal for a low fencing token confirms the incarnation of a late heartbeat, though it shows the id alone; the next list of runs corrects that. A registration under another key with the name of an entry replaces the entry's address at the agents.

--- a/tests/test_desiredstate.py
+++ b/tests/test_desiredstate.py
@@ -125,6 +125,13 @@
     assert directory.unreadable == [JOB_ENTRIES_PREFIX + "bad"]
 
 
+def test_a_copy_of_a_registration_leaves_the_address_of_the_entry() -> None:
+    """Guards against agents that leave an entry for the address that another writer names."""
+    directory = Directory()
+    directory.apply(entries(e1=entry("e1"), e2=entry("e1", "127.0.0.1:2")), 0.0)
+    assert directory.entries(0.0)["e1"].address == "127.0.0.1:1"
+
+
 class FakeStore:
     def __init__(self) -> None:
         self.down = False
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -774,6 +774,16 @@
     assert harness.core.upstream == restarted
 
 
+def test_a_refused_token_confirms_no_earlier_incarnation(harness: ExecutorHarness) -> None:
+    """Guards against a late heartbeat that displaces the incarnation which is there.
+
+    A refusal for a low token shows the id of the upstream, not its incarnation.
+    """
+    earlier = replace(UPSTREAM, born_ms=UPSTREAM.born_ms - 500)
+    harness.core.on_hold_fenced(probe_other_incarnation(harness, earlier), harness.now)
+    assert harness.core.upstream == UPSTREAM
+
+
 def test_only_the_registered_upstream_can_deregister(harness: ExecutorHarness) -> None:
     harness.answer(harness.start())
     harness.core.on_deregistration(UpstreamId("u-other"), "it has left", harness.now)
